--- /dev/null
+++ b/goldcresttally-admission/src/queue.rs
@@ -0,0 +1,152 @@
+//! Calls that wait, by rank; the most urgent go first, but each rank keeps its floor share.
+
+use std::collections::VecDeque;
+
+use goldcresttally_core::{Deadline, MonoTime};
+
+use crate::machine::CallId;
+
+/// Most turns that a rank can save up while it waits.
+const CREDIT_LIMIT: f64 = 2.0;
+
+/// A call that waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Waiting {
+    /// The call.
+    pub call: CallId,
+    /// When its answer is of no use any more.
+    pub deadline: Deadline,
+    /// When it came.
+    pub arrived: MonoTime,
+}
+
+/// The calls of one rank.
+#[derive(Debug, Clone, Default)]
+struct Lane {
+    waiting: VecDeque<Waiting>,
+    floor: f64,
+    credit: f64,
+}
+
+/// Queues by rank with floor shares.
+#[derive(Debug, Clone, Default)]
+pub struct RankedQueue {
+    lanes: Vec<Lane>,
+    len: usize,
+}
+
+impl RankedQueue {
+    /// Sets the floor share of each rank, the most urgent first.
+    pub fn set_floors(&mut self, floors: &[f64]) {
+        let count = floors.len().max(self.lanes.len()).max(1);
+        self.lanes.resize_with(count, Lane::default);
+        for (i, lane) in self.lanes.iter_mut().enumerate() {
+            lane.floor = floors.get(i).copied().unwrap_or(0.0);
+        }
+    }
+
+    /// Returns the number of calls that wait.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Tells whether no call waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns how many calls would be served before one of `rank` that came now.
+    pub fn ahead_of(&self, rank: usize) -> usize {
+        self.lanes
+            .iter()
+            .take(rank + 1)
+            .map(|l| l.waiting.len())
+            .sum()
+    }
+
+    /// Adds a call at the end of its rank.
+    pub fn push(&mut self, rank: usize, waiting: Waiting) {
+        if self.lanes.len() <= rank {
+            self.lanes.resize_with(rank + 1, Lane::default);
+        }
+        self.lanes[rank].waiting.push_back(waiting);
+        self.len += 1;
+    }
+
+    /// Takes the call to serve next.
+    pub fn pop(&mut self) -> Option<Waiting> {
+        let at = self.lane_to_serve()?;
+        for lane in &mut self.lanes {
+            lane.credit = match lane.waiting.is_empty() {
+                true => 0.0,
+                false => (lane.credit + lane.floor).min(CREDIT_LIMIT),
+            };
+        }
+        let lane = &mut self.lanes[at];
+        lane.credit = (lane.credit - 1.0).max(0.0);
+        self.len -= 1;
+        lane.waiting.pop_front()
+    }
+
+    /// A rank that has saved up a turn goes first; otherwise the most urgent does.
+    fn lane_to_serve(&self) -> Option<usize> {
+        let busy = |i: &usize| !self.lanes[*i].waiting.is_empty();
+        let most_urgent = (0..self.lanes.len()).find(busy)?;
+        let owed = |i: &usize| busy(i) && self.lanes[*i].credit + self.lanes[*i].floor >= 1.0;
+        let by_credit =
+            |a: &usize, b: &usize| self.lanes[*a].credit.total_cmp(&self.lanes[*b].credit);
+        Some(
+            (most_urgent + 1..self.lanes.len())
+                .filter(owed)
+                .max_by(by_credit)
+                .unwrap_or(most_urgent),
+        )
+    }
+
+    /// Makes room for a call of `rank`: takes the newest call of the least urgent rank that
+    /// holds more than its reserved share of `capacity`.
+    pub fn evict_below(&mut self, rank: usize, capacity: usize) -> Option<Waiting> {
+        let over = |lane: &Lane| {
+            let reserved = (lane.floor * capacity as f64).ceil() as usize;
+            lane.waiting.len() > reserved
+        };
+        let at = (rank + 1..self.lanes.len())
+            .rev()
+            .find(|i| over(&self.lanes[*i]))?;
+        self.len -= 1;
+        self.lanes[at].waiting.pop_back()
+    }
+
+    /// Tells whether `rank` holds less than its reserved share of `capacity`.
+    pub fn is_under_floor(&self, rank: usize, capacity: usize) -> bool {
+        self.lanes
+            .get(rank)
+            .is_some_and(|lane| (lane.waiting.len() as f64) < (lane.floor * capacity as f64).ceil())
+    }
+
+    /// Removes a call; returns whether it waited.
+    pub fn remove(&mut self, call: CallId) -> bool {
+        let before = self.len;
+        for lane in &mut self.lanes {
+            lane.waiting.retain(|w| w.call != call);
+        }
+        self.len = self.lanes.iter().map(|l| l.waiting.len()).sum();
+        self.len < before
+    }
+
+    /// Takes all calls for which `gone` holds.
+    pub fn drain_where(&mut self, gone: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
+        let mut taken = Vec::new();
+        for lane in &mut self.lanes {
+            lane.waiting.retain(|w| {
+                let leaves = gone(w);
+                if leaves {
+                    taken.push(*w);
+                }
+                !leaves
+            });
+        }
+        self.len -= taken.len();
+        taken
+    }
+}
--- /dev/null
+++ b/goldcresttally-config/src/snapshot/build.rs
@@ -0,0 +1,181 @@
+//! Builds a snapshot from all sections, or refuses the document whole.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use goldcresttally_core::{Map, RankName, SectionName, Version};
+
+use super::{Rank, Route, Service, Snapshot};
+use crate::document::{RankSpec, RouteSpec, Section};
+use crate::errors::{Error, Result};
+use crate::parse::{line_of, parse_section};
+
+/// Longest call timeout that a route may set, in milliseconds.
+const TIMEOUT_LIMIT_MS: u32 = 600_000;
+
+/// Most ranks in one document.
+const RANK_LIMIT: usize = 16;
+
+impl Snapshot {
+    /// Parses and checks all sections; nothing of a document that fails any check is used.
+    pub fn build(version: Version, bodies: &[(SectionName, Arc<str>)]) -> Result<Self> {
+        let mut sections = Vec::with_capacity(bodies.len());
+        for (name, text) in bodies {
+            sections.push((name, parse_section(name, text)?));
+        }
+        let with_line = |e: Error| {
+            let body = bodies
+                .iter()
+                .find(|(name, _)| Some(name) == e.section.as_ref());
+            let line = body.and_then(|(_, text)| line_of(text, &e.path));
+            e.with_line(line)
+        };
+        Self::link(version, &sections).map_err(with_line)
+    }
+
+    fn link(version: Version, sections: &[(&SectionName, Section)]) -> Result<Self> {
+        let mut snapshot = Self {
+            version,
+            ..Self::default()
+        };
+        snapshot.add_services(sections)?;
+        let ranks = snapshot.add_ranks(sections)?;
+        for (name, section) in sections {
+            for (i, spec) in section.routes.iter().enumerate() {
+                snapshot.add_route(name, i, spec, &ranks)?;
+            }
+        }
+        Ok(snapshot)
+    }
+
+    fn add_services(&mut self, sections: &[(&SectionName, Section)]) -> Result<()> {
+        for (section, name, spec) in sections
+            .iter()
+            .flat_map(|(s, c)| c.services.iter().map(move |(n, spec)| (*s, n, spec)))
+        {
+            let path = format!("services.{name}");
+            if spec.max_concurrency == 0 {
+                let path = format!("{path}.max_concurrency");
+                return Err(Error::at(section, path, "must be at least 1"));
+            }
+            let service = Arc::new(Service {
+                name: name.clone(),
+                max_concurrency: spec.max_concurrency,
+                queue: spec.queue,
+                objective: spec.objective,
+            });
+            if self.services.insert(name.clone(), service).is_some() {
+                return Err(Error::at(
+                    section,
+                    path,
+                    "another section defines this service too",
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn add_ranks(
+        &mut self,
+        sections: &[(&SectionName, Section)],
+    ) -> Result<Map<RankName, Arc<Rank>>> {
+        let mut specs: Vec<(&SectionName, &RankName, &RankSpec)> = sections
+            .iter()
+            .flat_map(|(s, c)| c.ranks.iter().map(move |(n, spec)| (*s, n, spec)))
+            .collect();
+        specs.sort_by_key(|(_, name, spec)| (spec.order, (*name).clone()));
+        let mut by_name = Map::default();
+        let mut floors = 0.0;
+        for (index, (section, name, spec)) in specs.iter().enumerate() {
+            let path = format!("ranks.{name}");
+            let fail = |message: &str| Err(Error::at(section, path.clone(), message));
+            if index > 0 && specs[index - 1].2.order == spec.order {
+                return fail("another rank has the same order");
+            }
+            if spec.target_ms == 0 {
+                return fail("target_ms must be at least 1");
+            }
+            floors += spec.floor.fraction();
+            let rank = Arc::new(Rank {
+                name: (*name).clone(),
+                index,
+                target: Duration::from_millis(spec.target_ms.into()),
+                worth: spec.worth,
+                floor: spec.floor,
+            });
+            if by_name.insert((*name).clone(), Arc::clone(&rank)).is_some() {
+                return fail("another section defines this rank too");
+            }
+            self.ranks.push(rank);
+        }
+        if floors > 0.5 {
+            return Err(Error::whole(format!(
+                "the floors of all ranks add up to {floors}, above 0.5"
+            )));
+        }
+        if self.ranks.len() > RANK_LIMIT {
+            return Err(Error::whole(format!("more than {RANK_LIMIT} ranks")));
+        }
+        Ok(by_name)
+    }
+
+    fn add_route(
+        &mut self,
+        section: &SectionName,
+        i: usize,
+        spec: &RouteSpec,
+        ranks: &Map<RankName, Arc<Rank>>,
+    ) -> Result<()> {
+        let fail = |field: &str, message: String| {
+            Err(Error::at(section, format!("routes[{i}].{field}"), message))
+        };
+        let Some(service) = self.services.get(&spec.service) else {
+            return fail(
+                "service",
+                format!("no section defines the service `{}`", spec.service),
+            );
+        };
+        let Some(rank) = ranks.get(&spec.rank) else {
+            return fail(
+                "rank",
+                format!("no section defines the rank `{}`", spec.rank),
+            );
+        };
+        if !spec.path.starts_with('/') {
+            return fail("path", format!("`{}` does not start with `/`", spec.path));
+        }
+        if !(1..=TIMEOUT_LIMIT_MS).contains(&spec.timeout_ms) {
+            return fail(
+                "timeout_ms",
+                format!("must be from 1 to {TIMEOUT_LIMIT_MS}"),
+            );
+        }
+        let route = Arc::new(Route {
+            host: spec.host.clone(),
+            path: trim_slash(&spec.path),
+            method: spec.method.clone(),
+            service: Arc::clone(service),
+            rank: Arc::clone(rank),
+            idempotent: spec.idempotent,
+            key: spec.key,
+            on_table_outage: spec.on_table_outage,
+            timeout: Duration::from_millis(spec.timeout_ms.into()),
+            retries: spec.retries,
+        });
+        match self.routes.insert(route) {
+            None => Ok(()),
+            Some(_) => fail(
+                "path",
+                format!("`{}` is routed twice for this host and method", spec.path),
+            ),
+        }
+    }
+}
+
+/// Drops the slash at the end, so that `/a/` and `/a` are one prefix.
+fn trim_slash(path: &Arc<str>) -> Arc<str> {
+    match path.trim_end_matches('/') {
+        "" => Arc::from("/"),
+        trimmed => Arc::from(trimmed),
+    }
+}
--- /dev/null
+++ b/goldcresttally-core/src/ids.rs
@@ -0,0 +1,241 @@
+//! Newtypes for names and numbers that identify things.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::errors::{Error, Result, invalid};
+
+/// Longest name accepted, in bytes.
+pub const NAME_LIMIT_BYTES: usize = 64;
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                if is_name(text) {
+                    Ok(Self(Arc::from(text)))
+                } else {
+                    invalid($kind, text, "1 to 64 letters, digits, `.`, `_` or `-`")
+                }
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = Error;
+
+            fn try_from(text: String) -> Result<Self> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.as_ref().to_owned()
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Names a failure domain.
+    DomainId,
+    "failure domain"
+);
+name_type!(
+    /// Names a region, which holds failure domains.
+    RegionId,
+    "region"
+);
+name_type!(
+    /// Names a service that upstreams announce and routes point at.
+    ServiceName,
+    "service name"
+);
+name_type!(
+    /// Names a rank of calls.
+    RankName,
+    "rank name"
+);
+name_type!(
+    /// Names a section of the configuration document.
+    SectionName,
+    "section name"
+);
+name_type!(
+    /// Names a team that owns sections.
+    TeamName,
+    "team name"
+);
+
+fn is_name(text: &str) -> bool {
+    let valid = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
+    !text.is_empty() && text.len() <= NAME_LIMIT_BYTES && text.bytes().all(valid)
+}
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the number that follows this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                text.parse().map(Self).or_else(|_| invalid($kind, text, "a whole number"))
+            }
+        }
+    };
+}
+
+number_type!(
+    /// Numbers an accepted configuration; 0 means that none was accepted yet.
+    Version,
+    "version"
+);
+number_type!(
+    /// Tells apart the processes that ran in turn at one address; grows with each start.
+    Generation,
+    "generation"
+);
+number_type!(
+    /// Orders the claims about one process within its generation (SWIM's incarnation number).
+    Incarnation,
+    "incarnation"
+);
+
+/// Identifies a node by the address of its control listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct NodeId(pub SocketAddr);
+
+impl fmt::Display for NodeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for NodeId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        text.parse()
+            .map(Self)
+            .or_else(|_| invalid("node address", text, "IP:port"))
+    }
+}
+
+/// Identifies one attempt to run a call: who sent it, in which life, and its sequence number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptId {
+    /// The entry node that made the attempt.
+    pub origin: NodeId,
+    /// The life of the entry node.
+    pub generation: Generation,
+    /// Grows by one with each attempt of that life.
+    pub sequence: u64,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.origin, self.generation, self.sequence)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let wrong = || invalid("attempt id", text, "IP:port/generation/sequence");
+        let mut parts = text.split('/');
+        let (Some(origin), Some(generation), Some(sequence), None) =
+            (parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return wrong();
+        };
+        let Ok(sequence) = sequence.parse() else {
+            return wrong();
+        };
+        Ok(Self {
+            origin: origin.parse()?,
+            generation: generation.parse()?,
+            sequence,
+        })
+    }
+}
+
+/// Identifies one operation on the table, so that a lost answer can be settled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct OperationId(pub u128);
+
+impl fmt::Display for OperationId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for OperationId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .or_else(|_| invalid("operation id", text, "hexadecimal digits"))
+    }
+}
+
+impl TryFrom<String> for OperationId {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        text.parse()
+    }
+}
+
+impl From<OperationId> for String {
+    fn from(id: OperationId) -> Self {
+        id.to_string()
+    }
+}
--- /dev/null
+++ b/goldcresttally-distribution/src/bundle.rs
@@ -0,0 +1,89 @@
+//! The manifest and bodies of one version, complete and checked against its digest.
+
+use std::sync::Arc;
+
+use goldcresttally_config::{Digest, Manifest, SectionEntry};
+use goldcresttally_core::{Map, SectionName, Version};
+
+use crate::update::{ChangedSection, VersionUpdate};
+
+/// One complete version.
+#[derive(Debug, Clone, Default)]
+pub struct Bundle {
+    manifest: Manifest,
+    digest: Option<Digest>,
+    bodies: Map<Digest, Arc<str>>,
+}
+
+impl Bundle {
+    /// Returns the version.
+    pub fn version(&self) -> Version {
+        self.manifest.version
+    }
+
+    /// Returns the manifest.
+    pub fn manifest(&self) -> &Manifest {
+        &self.manifest
+    }
+
+    /// Returns the body named `digest`, if the version holds it.
+    pub fn body(&self, digest: Digest) -> Option<&Arc<str>> {
+        self.bodies.get(&digest)
+    }
+
+    /// Returns all sections with their bodies, ordered by name.
+    pub fn sections(&self) -> Vec<(SectionName, Arc<str>)> {
+        let section = |e: &SectionEntry| Some((e.name.clone(), Arc::clone(self.body(e.digest)?)));
+        self.manifest.sections.iter().filter_map(section).collect()
+    }
+
+    /// Applies `update`; returns `None` when it starts elsewhere or its digest does not match.
+    pub fn patched(&self, update: &VersionUpdate) -> Option<Self> {
+        let empty = Self::default();
+        let base = if update.base == Version(0) {
+            &empty
+        } else {
+            self
+        };
+        if update.base != base.version() || update.version <= update.base {
+            return None;
+        }
+        let changed: Vec<_> = update.changed.iter().map(ChangedSection::entry).collect();
+        let manifest = base
+            .manifest
+            .patched(update.version, &changed, &update.removed);
+        if manifest.digest() != update.manifest {
+            return None;
+        }
+        let mut known = base.bodies.clone();
+        let fresh = changed.iter().zip(&update.changed);
+        known.extend(fresh.map(|(entry, section)| (entry.digest, Arc::clone(&section.body))));
+        let body = |e: &SectionEntry| Some((e.digest, Arc::clone(known.get(&e.digest)?)));
+        let bodies = manifest.sections.iter().map(body).collect::<Option<_>>()?;
+        Some(Self {
+            digest: Some(update.manifest),
+            manifest,
+            bodies,
+        })
+    }
+
+    /// Returns what this version changes against the one that `base` lists.
+    pub fn update_from(&self, base: &Manifest) -> VersionUpdate {
+        let section = |e: SectionEntry| {
+            let body = Arc::clone(self.body(e.digest)?);
+            Some(ChangedSection { name: e.name, body })
+        };
+        VersionUpdate {
+            version: self.version(),
+            base: base.version,
+            manifest: self.digest.unwrap_or_else(|| self.manifest.digest()),
+            changed: self
+                .manifest
+                .changed_since(base)
+                .into_iter()
+                .filter_map(section)
+                .collect(),
+            removed: self.manifest.removed_since(base),
+        }
+    }
+}
--- /dev/null
+++ b/goldcresttally-platform/src/lib.rs
@@ -0,0 +1,22 @@
+//! The platform's table service and object store, and the document kept in them.
+//!
+//! * [`table`]: the trait of a transactional table with conditional writes.
+//! * [`object`]: the trait of an object store.
+//! * [`http_driver`]: both over HTTP.
+//! * [`document`]: drafts, accepted versions and history, with lost answers settled.
+//! * [`errors`]: the error of this crate; it says whether a write may have taken effect.
+
+pub mod document;
+pub mod errors;
+pub mod http_driver;
+pub mod object;
+pub mod table;
+
+pub use document::{Accepted, Document, DraftInfo, Head, HistoryEntry};
+pub use errors::{Error, Result};
+pub use http_driver::HttpPlatform;
+pub use object::ObjectStore;
+pub use table::{Expected, Row, TableStore, Transaction, Write};
+
+/// A boxed future, as trait objects return it.
+pub type BoxFuture<'a, T> = std::pin::Pin<Box<dyn Future<Output = T> + Send + 'a>>;
--- /dev/null
+++ b/goldcresttally-proxy/src/body.rs
@@ -0,0 +1,153 @@
+//! Bodies of calls, and a request body that can be sent again.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, SizeHint};
+
+/// Boxes any error of a body.
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// The body of a request or an answer on its way.
+pub type CallBody = UnsyncBoxBody<Bytes, BoxError>;
+
+/// Largest body that is held in memory as a whole, in bytes.
+pub const BUFFER_LIMIT_BYTES: usize = 64 * 1024;
+
+/// Returns a body that is at hand as a whole.
+pub fn full(bytes: impl Into<Bytes>) -> CallBody {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Boxes a body.
+pub fn boxed<B>(body: B) -> CallBody
+where
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<BoxError>,
+{
+    body.map_err(Into::into).boxed_unsync()
+}
+
+/// Reads a body as a whole if it has at most `BUFFER_LIMIT_BYTES`.
+///
+/// Returns the part that was read and, for a larger body, the rest of it.
+pub async fn read_up_to_limit<B>(mut body: B) -> Result<(Bytes, Option<B>), B::Error>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut first: Option<Bytes> = None;
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        match first.take() {
+            // The common body is one chunk, which needs no copy.
+            None if buf.is_empty() => first = Some(data),
+            head => {
+                buf.extend_from_slice(&head.unwrap_or_default());
+                buf.extend_from_slice(&data);
+            }
+        }
+        if buf.len().max(first.as_ref().map_or(0, Bytes::len)) > BUFFER_LIMIT_BYTES {
+            return Ok((first.unwrap_or_else(|| buf.freeze()), Some(body)));
+        }
+    }
+    Ok((first.unwrap_or_else(|| buf.freeze()), None))
+}
+
+/// A request body that can be sent again for as long as nothing beyond its start was taken.
+#[derive(Debug)]
+pub struct Replay<B> {
+    start: Bytes,
+    rest: Option<Arc<Mutex<Option<B>>>>,
+}
+
+impl<B> Replay<B>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Into<BoxError>,
+{
+    /// Reads the start of `body`, or all of a small one.
+    pub async fn read(body: B) -> Result<Self, B::Error> {
+        let (start, rest) = read_up_to_limit(body).await?;
+        Ok(Self {
+            start,
+            rest: rest.map(|rest| Arc::new(Mutex::new(Some(rest)))),
+        })
+    }
+
+    /// Returns the start of the body; it is all of it when [`Self::is_whole`] holds.
+    pub fn start(&self) -> &Bytes {
+        &self.start
+    }
+
+    /// Tells whether the whole body is in memory.
+    pub fn is_whole(&self) -> bool {
+        self.rest.is_none()
+    }
+
+    /// Tells whether the body can still be sent from its start.
+    pub fn can_send(&self) -> bool {
+        self.rest.as_ref().is_none_or(|rest| lock(rest).is_some())
+    }
+
+    /// Returns the body for one more attempt.
+    pub fn body(&self) -> CallBody {
+        match &self.rest {
+            None => full(self.start.clone()),
+            Some(rest) => boxed(Resumed {
+                start: Some(self.start.clone()),
+                rest: Arc::clone(rest),
+                taken: None,
+            }),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The start of a body from memory, then its rest from the caller.
+struct Resumed<B> {
+    start: Option<Bytes>,
+    rest: Arc<Mutex<Option<B>>>,
+    taken: Option<B>,
+}
+
+impl<B> Body for Resumed<B>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<BoxError>,
+{
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if let Some(start) = self.start.take() {
+            return Poll::Ready(Some(Ok(Frame::data(start))));
+        }
+        if self.taken.is_none() {
+            let rest = lock(&self.rest).take();
+            self.taken = rest;
+        }
+        match &mut self.taken {
+            None => Poll::Ready(Some(Err("the request body was already sent".into()))),
+            Some(rest) => Pin::new(rest).poll_frame(cx).map_err(Into::into),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::default()
+    }
+}
--- /dev/null
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -0,0 +1,162 @@
+//! One attempt: sends the call to its node, and settles it when the connection breaks.
+
+use std::sync::Arc;
+
+use goldcresttally_core::Deadline;
+use http::uri::{Authority, PathAndQuery, Scheme};
+use http::{Request, Response, Uri};
+use http_body_util::BodyExt;
+
+use super::Entry;
+use super::call::{Attempt, Call};
+use super::keyed::KeptBody;
+use super::observe::{InFlight, Watched};
+use crate::body::{BUFFER_LIMIT_BYTES, CallBody, Replay, boxed, full};
+use crate::errors::{CallError, Reason};
+use crate::headers;
+use crate::link::LinkError;
+
+/// Cancels an attempt when its caller is gone before it has ended.
+struct CancelGuard {
+    entry: Arc<Entry>,
+    attempt: Option<Attempt>,
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        if let Some(attempt) = self.attempt.take() {
+            let entry = Arc::clone(&self.entry);
+            self.entry
+                .tasks
+                .spawn(async move { entry.cancel(&attempt).await });
+        }
+    }
+}
+
+impl Call {
+    /// Makes one attempt; `keyed` makes its node remember it for longer.
+    pub async fn attempt(
+        &self,
+        attempt: &Attempt,
+        body: &Replay<CallBody>,
+        keyed: bool,
+    ) -> Result<Response<CallBody>, CallError> {
+        let entry = &self.entry;
+        let in_flight = InFlight::start(attempt.endpoint.clone());
+        let mut guard = CancelGuard {
+            entry: Arc::clone(entry),
+            attempt: Some(attempt.clone()),
+        };
+        let req = self.request(attempt, body, keyed);
+        let result = match attempt.endpoint.node == entry.state.identity.node {
+            true => Ok(entry.peer.handle(req).await),
+            false => self.send(attempt, req).await,
+        };
+        let result = match result {
+            Ok(response) => self.read_answer(attempt, response, in_flight).await,
+            Err(error) => Err(error),
+        };
+        guard.attempt = None;
+        self.observe(attempt, &result);
+        result
+    }
+
+    async fn send(
+        &self,
+        attempt: &Attempt,
+        req: Request<CallBody>,
+    ) -> Result<Response<CallBody>, CallError> {
+        let probe = !self.route.idempotent;
+        let sent = self
+            .entry
+            .links
+            .send(attempt.endpoint.peer, req, self.deadline, probe)
+            .await;
+        match sent {
+            Ok(response) => Ok(response.map(boxed)),
+            Err(LinkError::NotSent) => Err(CallError::not_run(Reason::Unreachable)),
+            Err(LinkError::TimedOut) => {
+                // The peer ends the attempt at the same deadline; nobody waits for it any more.
+                let entry = Arc::clone(&self.entry);
+                let attempt = attempt.clone();
+                self.entry
+                    .tasks
+                    .spawn(async move { entry.cancel(&attempt).await });
+                Err(CallError::may_have_run(Reason::Deadline))
+            }
+            Err(LinkError::Lost) => self.settle(attempt).await,
+        }
+    }
+
+    /// Tells a refusal from an answer, and reads a small answer to its end.
+    async fn read_answer(
+        &self,
+        attempt: &Attempt,
+        response: Response<CallBody>,
+        in_flight: InFlight,
+    ) -> Result<Response<CallBody>, CallError> {
+        let (mut parts, body) = response.into_parts();
+        in_flight.report(&self.entry.state, &parts.headers);
+        if let Some(error) = CallError::from_headers(&parts.headers) {
+            return Err(error);
+        }
+        headers::strip_internal(&mut parts.headers);
+        let length = headers::parse::<usize>(&parts.headers, &http::header::CONTENT_LENGTH);
+        if length.is_none_or(|n| n > BUFFER_LIMIT_BYTES) {
+            let body = boxed(Watched::new(body, in_flight));
+            return Ok(Response::from_parts(parts, body));
+        }
+        // A small answer whose connection breaks half-way can still be had from the ledger.
+        match tokio::time::timeout_at(self.timer(), body.collect()).await {
+            Ok(Ok(body)) => {
+                let body = body.to_bytes();
+                parts.extensions.insert(KeptBody(body.clone()));
+                Ok(Response::from_parts(parts, full(body)))
+            }
+            Ok(Err(_)) => self.settle(attempt).await,
+            Err(_) => Err(CallError::ran(Reason::Deadline)),
+        }
+    }
+
+    fn request(
+        &self,
+        attempt: &Attempt,
+        body: &Replay<CallBody>,
+        keyed: bool,
+    ) -> Request<CallBody> {
+        let mut req = Request::new(body.body());
+        *req.method_mut() = self.parts.method.clone();
+        *req.uri_mut() = self.uri();
+        *req.headers_mut() = self.parts.headers.clone();
+        let map = req.headers_mut();
+        map.remove(http::header::HOST);
+        headers::set(map, headers::OP, "call");
+        headers::set(map, headers::SERVICE, &self.route.service.name);
+        headers::set(map, headers::RANK, &self.route.rank.name);
+        if keyed {
+            headers::set(map, headers::KEYED, "true");
+        }
+        self.entry.address(map, attempt, self.deadline);
+        req
+    }
+
+    fn uri(&self) -> Uri {
+        let mut parts = http::uri::Parts::default();
+        parts.scheme = Some(Scheme::HTTP);
+        let host = self.host.parse::<Authority>();
+        parts.authority = Some(host.unwrap_or_else(|_| Authority::from_static("upstream")));
+        let path = self.parts.uri.path_and_query().cloned();
+        parts.path_and_query = Some(path.unwrap_or_else(|| PathAndQuery::from_static("/")));
+        Uri::from_parts(parts).unwrap_or_default()
+    }
+}
+
+impl Entry {
+    /// Sets the headers that name an attempt.
+    pub(super) fn address(&self, map: &mut http::HeaderMap, attempt: &Attempt, deadline: Deadline) {
+        headers::set(map, headers::ATTEMPT, &attempt.id);
+        headers::set(map, headers::GENERATION, &attempt.endpoint.generation);
+        let left = deadline.remaining(self.state.clock.now()).as_millis();
+        headers::set(map, headers::DEADLINE_MS, &left);
+    }
+}
--- /dev/null
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -0,0 +1,221 @@
+//! One call: its route and deadline, and the attempts to run it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use goldcresttally_config::{KeyPolicy, Route};
+use goldcresttally_core::{AttemptId, Deadline, MonoTime, NodeId};
+use goldcresttally_routing::Endpoint;
+use http::header::EXPECT;
+use http::request::Parts;
+use http::{HeaderValue, Request, Response};
+
+use super::Entry;
+use crate::body::{CallBody, Replay};
+use crate::errors::{CallError, Reason};
+use crate::headers;
+use crate::state::Serving;
+
+/// Longest random wait before another attempt, in milliseconds.
+const RETRY_JITTER_MS: u64 = 10;
+
+/// Most redirect hints that one call follows (RFC 5685, section 7: `MAX_REDIRECTS`).
+const REDIRECT_LIMIT: usize = 2;
+
+/// A call that has a route.
+pub(super) struct Call {
+    pub entry: Arc<Entry>,
+    pub route: Arc<Route>,
+    /// The configuration that the call began with and keeps.
+    serving: Arc<Serving>,
+    pub parts: Parts,
+    pub host: String,
+    pub key: Option<HeaderValue>,
+    pub started: MonoTime,
+    pub deadline: Deadline,
+}
+
+/// One attempt to run a call.
+#[derive(Debug, Clone)]
+pub(super) struct Attempt {
+    pub id: AttemptId,
+    pub endpoint: Endpoint,
+}
+
+/// What the attempts of one call have in common.
+#[derive(Debug, Default)]
+pub(super) struct Tries {
+    /// Nodes that were tried.
+    tried: Vec<NodeId>,
+    redirects: usize,
+    /// The node that the last refusal named.
+    hint: Option<NodeId>,
+    made: u32,
+}
+
+impl Call {
+    /// Finds the route of a request and checks what can be checked without its body.
+    pub fn route(
+        entry: &Arc<Entry>,
+        req: Request<CallBody>,
+        started: MonoTime,
+    ) -> Result<(Self, CallBody), CallError> {
+        if !entry.state.is_ready() {
+            return Err(CallError::not_run(Reason::NotReady));
+        }
+        let (mut parts, body) = req.into_parts();
+        let serving = entry.state.serving();
+        let host = host_of(&parts);
+        let name = host
+            .rsplit_once(':')
+            .map_or(host.as_str(), |(name, _)| name);
+        let path = parts.uri.path();
+        let Some(route) = serving.snapshot.route(name, parts.method.as_str(), path) else {
+            return Err(CallError::not_run(Reason::NoRoute));
+        };
+        let route = Arc::clone(route);
+        let asked = headers::time_left(&parts.headers).unwrap_or(route.timeout);
+        let deadline = Deadline::after(started, asked.min(route.timeout));
+        let key = parts.headers.get(headers::IDEMPOTENCY_KEY).cloned();
+        headers::strip_internal(&mut parts.headers);
+        headers::strip_hop_by_hop(&mut parts.headers);
+        parts.headers.remove(EXPECT);
+        let key = match (route.key, key) {
+            (KeyPolicy::None, _) | (KeyPolicy::Optional, None) => None,
+            (KeyPolicy::Required, None) => return Err(CallError::not_run(Reason::KeyMissing)),
+            (KeyPolicy::Optional | KeyPolicy::Required, key) => key,
+        };
+        let entry = Arc::clone(entry);
+        Ok((
+            Self {
+                entry,
+                route,
+                serving,
+                parts,
+                host,
+                key,
+                started,
+                deadline,
+            },
+            body,
+        ))
+    }
+
+    /// Runs the call to its end.
+    pub async fn run(&self, body: CallBody) -> Result<Response<CallBody>, CallError> {
+        self.check_throttle()?;
+        self.entry.budget.on_call();
+        let read = tokio::time::timeout_at(self.timer(), Replay::read(body)).await;
+        let Ok(Ok(body)) = read else {
+            return Err(CallError::not_run(Reason::BadRequest));
+        };
+        match &self.key {
+            Some(key) => self.run_keyed(key, &body).await,
+            None => self.run_unkeyed(&body).await,
+        }
+    }
+
+    async fn run_unkeyed(&self, body: &Replay<CallBody>) -> Result<Response<CallBody>, CallError> {
+        let mut tries = Tries::default();
+        loop {
+            let attempt = self.next_attempt(&mut tries)?;
+            match self.attempt(&attempt, body, false).await {
+                Ok(response) => return Ok(response),
+                Err(error) => self.check_retry(&mut tries, &error, body).await?,
+            }
+        }
+    }
+
+    /// Picks the endpoint of the next attempt.
+    pub fn next_attempt(&self, tries: &mut Tries) -> Result<Attempt, CallError> {
+        let endpoints = self.entry.state.endpoints();
+        let all = endpoints.get(&self.route.service.name);
+        let all = all.ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?;
+        let now = self.entry.state.clock.now();
+        let random = |n| fastrand::usize(..n);
+        let hinted = tries
+            .hint
+            .take()
+            .and_then(|hint| all.iter().find(|e| e.node == hint));
+        if hinted.is_some() {
+            self.entry.state.counters.redirects.add();
+        }
+        let picked = hinted
+            .or_else(|| self.entry.picker.pick(now, all, &tries.tried, random))
+            // All were tried: a refusal by one of them may be over by now.
+            .or_else(|| self.entry.picker.pick(now, all, &[], random));
+        let endpoint = picked
+            .ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?
+            .clone();
+        tries.tried.push(endpoint.node);
+        tries.made += 1;
+        Ok(Attempt {
+            id: self.entry.state.next_attempt(),
+            endpoint,
+        })
+    }
+
+    /// Returns the error for the caller unless another attempt may be made, and waits for it.
+    pub async fn check_retry(
+        &self,
+        tries: &mut Tries,
+        error: &CallError,
+        body: &Replay<CallBody>,
+    ) -> Result<(), CallError> {
+        let give_up = || Err(error.clone());
+        let retryable = error.verdict.may_retry(self.route.idempotent) && body.can_send();
+        // The caller's own mistakes and a deadline that has passed stay what they are.
+        let hopeless = matches!(error.reason, Reason::BadRequest | Reason::NoEndpoint);
+        if !retryable || hopeless || tries.made > u32::from(self.route.retries) {
+            return give_up();
+        }
+        if self.deadline.is_past(self.entry.state.clock.now()) {
+            return give_up();
+        }
+        let budget = &self.entry.budget;
+        if self.entry.options.retry_budget && !budget.take() {
+            return give_up();
+        }
+        let hint = error.redirect.filter(|node| !tries.tried.contains(node));
+        if hint.is_some() && tries.redirects < REDIRECT_LIMIT {
+            tries.redirects += 1;
+            tries.hint = hint;
+        }
+        self.entry.state.counters.retries.add();
+        let jitter = Duration::from_millis(fastrand::u64(0..=RETRY_JITTER_MS));
+        tokio::time::sleep(jitter).await;
+        Ok(())
+    }
+
+    fn check_throttle(&self) -> Result<(), CallError> {
+        let Some(throttle) = self.throttle() else {
+            return Ok(());
+        };
+        if throttle.admit(self.entry.state.clock.now(), fastrand::f64()) {
+            return Ok(());
+        }
+        self.entry.state.counters.throttled.add();
+        Err(CallError::not_run(Reason::Overloaded))
+    }
+
+    /// Returns the throttle of this call's service and rank, unless it is switched off.
+    pub fn throttle(&self) -> Option<&goldcresttally_routing::Throttle> {
+        let list = self.serving.throttles.get(&self.route.service.name)?;
+        list.get(self.route.rank.index)
+            .filter(|_| self.entry.options.throttle)
+    }
+
+    /// Returns the instant of the call's deadline.
+    pub fn timer(&self) -> tokio::time::Instant {
+        self.entry.state.clock.instant(self.deadline)
+    }
+}
+
+fn host_of(parts: &Parts) -> String {
+    let header = parts
+        .headers
+        .get(http::header::HOST)
+        .and_then(|v| v.to_str().ok());
+    let authority = parts.uri.authority().map(http::uri::Authority::as_str);
+    authority.or(header).unwrap_or("upstream").to_owned()
+}
--- /dev/null
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -0,0 +1,119 @@
+//! What the entry learns from each attempt about the endpoint that ran it.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use goldcresttally_core::Verdict;
+use goldcresttally_routing::Endpoint;
+use http::{HeaderMap, Response};
+use hyper::body::{Body, Frame, SizeHint};
+
+use super::call::{Attempt, Call};
+use crate::body::{BoxError, CallBody};
+use crate::errors::{CallError, Reason};
+use crate::headers;
+use crate::state::State;
+
+/// Counts an attempt as in flight until it is dropped.
+#[derive(Debug)]
+pub(super) struct InFlight {
+    endpoint: Endpoint,
+}
+
+impl InFlight {
+    pub fn start(endpoint: Endpoint) -> Self {
+        endpoint.observed.start();
+        Self { endpoint }
+    }
+
+    /// Takes the load that the peer reported.
+    pub fn report(&self, state: &State, map: &HeaderMap) {
+        if let Some(load) = headers::parse(map, &headers::LOAD) {
+            self.endpoint.observed.report(state.clock.now(), load);
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.endpoint.observed.end();
+    }
+}
+
+/// A body on its way to the caller; the attempt is in flight until it ends.
+pub(super) struct Watched {
+    body: CallBody,
+    _in_flight: InFlight,
+}
+
+impl Watched {
+    pub fn new(body: CallBody, in_flight: InFlight) -> Self {
+        Self {
+            body,
+            _in_flight: in_flight,
+        }
+    }
+}
+
+impl Body for Watched {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Call {
+    /// Notes how an attempt ended.
+    pub(super) fn observe(
+        &self,
+        attempt: &Attempt,
+        result: &Result<Response<CallBody>, CallError>,
+    ) {
+        let now = self.entry.state.clock.now();
+        let observed = &attempt.endpoint.observed;
+        match result {
+            Ok(_) => {
+                observed.answered(now.since(self.started));
+                if let Some(throttle) = self.throttle() {
+                    throttle.accepted();
+                }
+            }
+            Err(error) if is_endpoint_failure(error) => {
+                let endpoints = self.entry.state.endpoints();
+                let all = endpoints.get(&self.route.service.name);
+                let all = all.map_or(&[][..], |all| all);
+                if self.entry.ejection.on_failure(now, &attempt.endpoint, all) {
+                    self.entry.state.counters.ejections.add();
+                }
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+/// Tells whether a failure says something against the endpoint rather than about its load.
+fn is_endpoint_failure(error: &CallError) -> bool {
+    match error.reason {
+        Reason::Unreachable
+        | Reason::ConnectionLost
+        | Reason::StaleGeneration
+        | Reason::Draining
+        | Reason::NoEndpoint => true,
+        Reason::Deadline => error.verdict != Verdict::NotRun,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/goldcresttally-proxy/src/headers.rs
@@ -0,0 +1,99 @@
+//! Names of the headers between nodes and towards callers.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use http::header::{CONNECTION, HeaderName, TE, TRANSFER_ENCODING, UPGRADE};
+use http::{HeaderMap, HeaderValue};
+
+/// What a message between nodes is for: `call`, `settle`, `cancel` or `ping`.
+pub const OP: HeaderName = HeaderName::from_static("tally-op");
+/// The attempt's id.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("tally-attempt");
+/// The life of the node that is to run the attempt.
+pub const GENERATION: HeaderName = HeaderName::from_static("tally-generation");
+/// The service.
+pub const SERVICE: HeaderName = HeaderName::from_static("tally-service");
+/// The rank.
+pub const RANK: HeaderName = HeaderName::from_static("tally-rank");
+/// Time left until the deadline, in milliseconds.
+pub const DEADLINE_MS: HeaderName = HeaderName::from_static("tally-deadline-ms");
+/// Set on attempts of calls with an idempotency key, which are remembered for longer.
+pub const KEYED: HeaderName = HeaderName::from_static("tally-keyed");
+/// Whether a call that failed may have run.
+pub const VERDICT: HeaderName = HeaderName::from_static("tally-verdict");
+/// Why a call failed.
+pub const REASON: HeaderName = HeaderName::from_static("tally-reason");
+/// Load of the upstream that answers, in thousandths of its limit.
+pub const LOAD: HeaderName = HeaderName::from_static("tally-load");
+/// A less loaded node that may run the attempt instead.
+pub const REDIRECT: HeaderName = HeaderName::from_static("tally-redirect");
+/// What became of an attempt: `not-run`, `running`, `done` or `unknown`.
+pub const SETTLEMENT: HeaderName = HeaderName::from_static("tally-settlement");
+/// Set on a settlement that carries the attempt's whole answer.
+pub const ANSWER: HeaderName = HeaderName::from_static("tally-answer");
+/// Set by an upstream on an answer to say that the call did not run.
+pub const NOT_RUN: HeaderName = HeaderName::from_static("tally-not-run");
+/// Set on the answer to a repeated key: it is the first call's answer.
+pub const REPLAYED: HeaderName = HeaderName::from_static("tally-replayed");
+/// The caller's key for a call that must run at most once.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+const PREFIX: &str = "tally-";
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Removes the headers that hold for one connection only (RFC 9110, section 7.6.1).
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| HeaderName::from_str(name.trim()).ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [
+        CONNECTION,
+        TE,
+        TRANSFER_ENCODING,
+        UPGRADE,
+        KEEP_ALIVE,
+        PROXY_CONNECTION,
+    ] {
+        headers.remove(name);
+    }
+}
+
+/// Removes the headers that only this system may set.
+pub fn strip_internal(headers: &mut HeaderMap) {
+    let internal = |name: &&HeaderName| name.as_str().starts_with(PREFIX);
+    let names: Vec<HeaderName> = headers.keys().filter(internal).cloned().collect();
+    for name in names {
+        headers.remove(name);
+    }
+}
+
+/// Reads a header as a value that parses.
+pub fn parse<T: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Sets a header to a value's text; a value that no header can hold is left out.
+pub fn set(headers: &mut HeaderMap, name: HeaderName, value: &(impl ToString + ?Sized)) {
+    if let Ok(value) = HeaderValue::try_from(value.to_string()) {
+        headers.insert(name, value);
+    }
+}
+
+/// Reads the time left until the deadline.
+pub fn time_left(headers: &HeaderMap) -> Option<Duration> {
+    parse::<u64>(headers, &DEADLINE_MS).map(|ms| Duration::from_millis(ms.min(3_600_000)))
+}
+
+/// Tells whether the message says how its body ends, so that a cut can be told from the end.
+pub fn has_framing(headers: &HeaderMap) -> bool {
+    headers.contains_key(http::header::CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
--- /dev/null
+++ b/goldcresttally-proxy/src/lib.rs
@@ -0,0 +1,34 @@
+//! The data path: calls enter at one node, run beside an upstream at another, and are answered.
+//!
+//! * [`entry`]: routes a call, picks the node that runs it, and settles attempts that broke.
+//! * [`peer`]: admits a call beside its upstream, runs it, and remembers what became of it.
+//! * [`link`]: HTTP/2 connections between nodes.
+//! * [`state`]: what the request path reads: snapshot and endpoints, swapped whole.
+//! * [`claims`]: the border to whoever writes claims on idempotency keys.
+//! * [`transport`]: the border to the network.
+//! * [`server`]: accepts connections and finishes what is in flight when it stops.
+//! * [`headers`], [`body`], [`clock`], [`counters`], [`errors`]: shared parts.
+
+pub mod body;
+pub mod claims;
+pub mod clock;
+pub mod counters;
+pub mod entry;
+pub mod errors;
+pub mod headers;
+pub mod link;
+pub mod peer;
+pub mod server;
+pub mod state;
+pub mod transport;
+
+pub use body::CallBody;
+pub use clock::Clock;
+pub use entry::Entry;
+pub use errors::{CallError, Reason};
+pub use peer::Peer;
+pub use state::{Identity, State};
+pub use transport::{TcpTransport, Transport};
+
+/// A boxed future, as trait objects return it.
+pub type BoxFuture<'a, T> = std::pin::Pin<Box<dyn Future<Output = T> + Send + 'a>>;
--- /dev/null
+++ b/goldcresttally-proxy/src/link/mod.rs
@@ -0,0 +1,201 @@
+//! HTTP/2 connections between nodes; a silent one is closed and replaced.
+
+mod dial;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use goldcresttally_core::{Deadline, Map, MonoTime};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::http2::SendRequest;
+use tokio_util::task::TaskTracker;
+
+use crate::body::{CallBody, full};
+use crate::clock::Clock;
+use crate::headers;
+use crate::state::State;
+use crate::transport::Transport;
+
+/// Time without a sign of life after which a link is probed before it carries a call that must
+/// not run twice, in milliseconds.
+const PROBE_AFTER_IDLE_MS: u64 = 1000;
+
+/// Time within which a probe must be answered, in milliseconds.
+const PROBE_TIMEOUT_MS: u64 = 500;
+
+/// How a request over a link failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkError {
+    /// Nothing was sent: there is no connection.
+    NotSent,
+    /// It was sent, at least in part, and the connection broke.
+    Lost,
+    /// It was sent and the deadline has passed.
+    TimedOut,
+}
+
+/// A connection to one node.
+#[derive(Debug, Clone)]
+pub struct Link {
+    sender: SendRequest<CallBody>,
+    heard_us: Arc<AtomicU64>,
+}
+
+#[derive(Debug, Default)]
+struct Slot {
+    link: ArcSwapOption<Link>,
+    /// Held while a connection is opened, so that callers do not open several.
+    dialing: tokio::sync::Mutex<()>,
+    /// When a connection could last not be opened.
+    failed_us: AtomicU64,
+}
+
+/// The connections of one node to others.
+#[derive(Debug)]
+pub struct Links {
+    state: Arc<State>,
+    transport: Arc<dyn Transport>,
+    tasks: TaskTracker,
+    slots: ArcSwap<Map<SocketAddr, Arc<Slot>>>,
+}
+
+impl Links {
+    /// Returns links that are opened when first used; their tasks are tracked in `tasks`.
+    pub fn new(state: Arc<State>, transport: Arc<dyn Transport>, tasks: TaskTracker) -> Self {
+        Self {
+            state,
+            transport,
+            tasks,
+            slots: ArcSwap::default(),
+        }
+    }
+
+    /// Sends a request over the kept link, opening one if there is none.
+    ///
+    /// With `probe`, a link that was not heard from lately is probed first.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        req: Request<CallBody>,
+        deadline: Deadline,
+        probe: bool,
+    ) -> Result<Response<Incoming>, LinkError> {
+        let link = self.link(to, deadline, probe).await?;
+        link.send(self.clock(), req, deadline).await
+    }
+
+    /// Sends a request over a connection of its own.
+    pub async fn send_fresh(
+        &self,
+        to: SocketAddr,
+        req: Request<CallBody>,
+        deadline: Deadline,
+    ) -> Result<Response<Incoming>, LinkError> {
+        let link = self.dial(to, deadline).await?;
+        link.send(self.clock(), req, deadline).await
+    }
+
+    /// Closes links to nodes for which `keep` does not hold.
+    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        let held = self.slots.load();
+        if held.keys().all(&keep) {
+            return;
+        }
+        let kept = held.iter().filter(|(to, _)| keep(to));
+        let kept = kept.map(|(to, slot)| (*to, Arc::clone(slot))).collect();
+        self.slots.store(Arc::new(kept));
+    }
+
+    fn clock(&self) -> Clock {
+        self.state.clock
+    }
+
+    async fn link(
+        &self,
+        to: SocketAddr,
+        deadline: Deadline,
+        probe: bool,
+    ) -> Result<Arc<Link>, LinkError> {
+        let slot = self.slot(to);
+        if let Some(link) = slot.link.load_full().filter(|l| !l.sender.is_closed()) {
+            if !probe || link.is_fresh(self.clock().now()) || self.probe(&link).await {
+                return Ok(link);
+            }
+            // The connection is silent: whatever still waits on it settles its own attempt.
+            self.state.counters.silent_links.add();
+            slot.link.store(None);
+        }
+        let asked = self.clock().now();
+        let _dialing = slot.dialing.lock().await;
+        // Who waited while a connection could not be opened does not try it once more in turn.
+        if slot.failed_us.load(Ordering::Relaxed) > asked.0 {
+            return Err(LinkError::NotSent);
+        }
+        if let Some(link) = slot.link.load_full().filter(|l| !l.sender.is_closed()) {
+            return Ok(link);
+        }
+        let dialed = self.dial(to, deadline).await;
+        if dialed.is_err() {
+            slot.failed_us
+                .store(self.clock().now().0, Ordering::Relaxed);
+        }
+        let link = Arc::new(dialed?);
+        slot.link.store(Some(Arc::clone(&link)));
+        Ok(link)
+    }
+
+    fn slot(&self, to: SocketAddr) -> Arc<Slot> {
+        if let Some(slot) = self.slots.load().get(&to) {
+            return Arc::clone(slot);
+        }
+        self.slots.rcu(|held| {
+            let mut slots = Map::clone(held);
+            slots.entry(to).or_default();
+            slots
+        });
+        self.slots
+            .load()
+            .get(&to)
+            .map(Arc::clone)
+            .unwrap_or_default()
+    }
+
+    async fn probe(&self, link: &Link) -> bool {
+        let mut req = Request::new(full(""));
+        *req.uri_mut() = http::Uri::from_static("http://node/");
+        headers::set(req.headers_mut(), headers::OP, "ping");
+        let deadline = Deadline::after(self.clock().now(), Duration::from_millis(PROBE_TIMEOUT_MS));
+        link.send(self.clock(), req, deadline).await.is_ok()
+    }
+}
+
+impl Link {
+    async fn send(
+        &self,
+        clock: Clock,
+        req: Request<CallBody>,
+        deadline: Deadline,
+    ) -> Result<Response<Incoming>, LinkError> {
+        let exchange = self.sender.clone().try_send_request(req);
+        match tokio::time::timeout_at(clock.instant(deadline), exchange).await {
+            Ok(Ok(response)) => {
+                self.heard_us.store(clock.now().0, Ordering::Relaxed);
+                Ok(response)
+            }
+            Ok(Err(mut error)) => match error.take_message() {
+                Some(_) => Err(LinkError::NotSent),
+                None => Err(LinkError::Lost),
+            },
+            Err(_) => Err(LinkError::TimedOut),
+        }
+    }
+
+    fn is_fresh(&self, now: MonoTime) -> bool {
+        let heard = MonoTime(self.heard_us.load(Ordering::Relaxed));
+        now.since(heard) < Duration::from_millis(PROBE_AFTER_IDLE_MS)
+    }
+}
--- /dev/null
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -0,0 +1,268 @@
+//! Runs one attempt to its end, whether or not its entry node still listens.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use goldcresttally_admission::Outcome;
+use goldcresttally_core::{NodeId, ServiceName};
+use goldcresttally_ledger::Answer;
+use goldcresttally_routing::Picker;
+use http::request::Parts;
+use http::{Method, Response};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use super::exchange::{
+    answer_headers, is_overload, is_shed, is_small, is_well_framed, upstream_request,
+};
+use super::gate::{Gate, Place};
+use super::ticket::Ticket;
+use super::upstream::{Connection, UpstreamError};
+use super::{Peer, Replay};
+use crate::body::{BoxError, CallBody, boxed, full};
+use crate::errors::{CallError, Reason};
+use crate::headers;
+
+/// Chunks of an answer that wait for the entry to take them.
+const CHUNKS_IN_FLIGHT: usize = 8;
+
+/// Time without a chunk after which a streamed answer is cut off, in seconds.
+const STREAM_IDLE_LIMIT_S: u64 = 60;
+
+/// One attempt and the way to its entry.
+pub(super) struct Run {
+    pub peer: Arc<Peer>,
+    pub ticket: Ticket,
+    pub cancelled: CancellationToken,
+    pub answer: Option<oneshot::Sender<Response<CallBody>>>,
+}
+
+impl Run {
+    /// Waits for a slot, runs the call and answers.
+    pub async fn run(mut self, parts: Parts, body: Replay<CallBody>) {
+        let peer = Arc::clone(&self.peer);
+        let Some(gate) = peer.choose_gate(&self.ticket.service) else {
+            return self.refuse(CallError::not_run(Reason::NoEndpoint));
+        };
+        let entered = tokio::select! {
+            entered = gate.enter(&peer.state, self.ticket.rank, self.ticket.deadline) => entered,
+            () = self.cancelled.cancelled() => Err(CallError::not_run(Reason::Fenced)),
+        };
+        let mut place = match entered {
+            Ok(place) => place,
+            Err(error) => return self.refuse(error),
+        };
+        // The process may have been paused between the turn and here.
+        if self.ticket.deadline.is_past(peer.state.clock.now()) {
+            return self.refuse(CallError::not_run(Reason::Deadline));
+        }
+        if let Err(error) = peer.attempts.dispatch(self.ticket.attempt) {
+            return self.refuse(error);
+        }
+        peer.state.counters.dispatched.add();
+        self.exchange(&gate, &mut place, parts, body).await;
+    }
+
+    async fn exchange(
+        &mut self,
+        gate: &Gate,
+        place: &mut Place<'_>,
+        parts: Parts,
+        body: Replay<CallBody>,
+    ) {
+        let peer = Arc::clone(&self.peer);
+        let method = parts.method.clone();
+        let req = upstream_request(parts, body.body(), self.ticket.deadline, &peer);
+        let limit = peer.state.clock.instant(self.ticket.deadline);
+        let sent = tokio::select! {
+            sent = gate.pool().send(&*peer.transport, &peer.tasks, req) => sent,
+            () = tokio::time::sleep_until(limit) => return self.abandon(Reason::Deadline),
+            () = self.cancelled.cancelled() => {
+                peer.state.counters.cancelled.add();
+                return self.abandon(Reason::Deadline);
+            }
+        };
+        match sent {
+            Err(UpstreamError::NotSent) => self.refuse(CallError::not_run(Reason::Unreachable)),
+            Err(UpstreamError::Lost) => self.abandon(Reason::ConnectionLost),
+            Ok((response, _)) if is_shed(&response) => {
+                place.set_outcome(Outcome::Shed);
+                self.refuse(CallError::not_run(Reason::Shed));
+            }
+            Ok((response, _)) if !is_well_framed(&method, &response) => self.bad_answer(),
+            Ok((response, connection)) => {
+                self.pass_on(gate, place, &method, response, connection)
+                    .await;
+            }
+        }
+    }
+
+    async fn pass_on(
+        &mut self,
+        gate: &Gate,
+        place: &mut Place<'_>,
+        method: &Method,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) {
+        let (mut parts, body) = response.into_parts();
+        let overloaded = is_overload(parts.status);
+        answer_headers(&mut parts.headers, &self.peer, &self.ticket);
+        let whole = if is_small(&parts.headers) || method == Method::HEAD {
+            self.answer_whole(Response::from_parts(parts, body)).await
+        } else {
+            self.answer_in_chunks(Response::from_parts(parts, body))
+                .await
+        };
+        if whole {
+            place.set_outcome(if overloaded {
+                Outcome::Shed
+            } else {
+                Outcome::Answered
+            });
+            gate.pool().give_back(connection).await;
+        }
+    }
+
+    /// Reads a small answer to its end before it is passed on, and keeps it.
+    async fn answer_whole(&mut self, response: Response<Incoming>) -> bool {
+        let (parts, body) = response.into_parts();
+        let limit = self.peer.state.clock.instant(self.ticket.deadline);
+        let read = tokio::select! {
+            read = tokio::time::timeout_at(limit, body.collect()) => read,
+            () = self.cancelled.cancelled() => {
+                self.abandon(Reason::Deadline);
+                return false;
+            }
+        };
+        let Ok(Ok(body)) = read else {
+            self.bad_answer();
+            return false;
+        };
+        let body = body.to_bytes();
+        let headers = parts.headers.clone();
+        let answer = Answer {
+            status: parts.status,
+            headers,
+            body: body.clone(),
+        };
+        self.peer.attempts.done(self.ticket.attempt, Some(answer));
+        self.send(Response::from_parts(parts, full(body)));
+        true
+    }
+
+    /// Passes a large answer on in chunks; a cut is passed on as a cut.
+    async fn answer_in_chunks(&mut self, response: Response<Incoming>) -> bool {
+        let (parts, mut body) = response.into_parts();
+        let (tx, rx) = mpsc::channel::<Result<Bytes, BoxError>>(CHUNKS_IN_FLIGHT);
+        let chunks = tokio_stream(rx).map(|chunk| chunk.map(Frame::data));
+        self.send(Response::from_parts(parts, boxed(StreamBody::new(chunks))));
+        let idle = Duration::from_secs(STREAM_IDLE_LIMIT_S);
+        let whole = loop {
+            match tokio::time::timeout(idle, body.frame()).await {
+                Ok(None) => break true,
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    // Nobody takes the answer any more.
+                    if tx.send(Ok(data)).await.is_err() {
+                        break false;
+                    }
+                }
+                Ok(Some(Err(_))) | Err(_) => {
+                    let _ = tx.send(Err("the upstream's answer broke off".into())).await;
+                    break false;
+                }
+            }
+        };
+        self.peer.attempts.done(self.ticket.attempt, None);
+        whole
+    }
+
+    fn send(&mut self, response: Response<CallBody>) {
+        if let Some(tx) = self.answer.take() {
+            // An entry that is gone asks for the outcome on another connection.
+            let _ = tx.send(response);
+        }
+    }
+
+    fn refuse(&mut self, mut error: CallError) {
+        self.peer.attempts.not_run(self.ticket.attempt);
+        if matches!(
+            error.reason,
+            Reason::Overloaded | Reason::Draining | Reason::Shed
+        ) {
+            error.redirect = self.peer.redirect_hint(&self.ticket.service);
+        }
+        let mut response = error.into_response();
+        let load = self.peer.load_of(&self.ticket.service);
+        headers::set(response.headers_mut(), headers::LOAD, &load);
+        self.send(response);
+    }
+
+    fn abandon(&mut self, reason: Reason) {
+        self.peer.attempts.abandoned(self.ticket.attempt);
+        self.send(CallError::may_have_run(reason).into_response());
+    }
+
+    fn bad_answer(&mut self) {
+        self.peer.attempts.done(self.ticket.attempt, None);
+        self.send(CallError::ran(Reason::BadAnswer).into_response());
+    }
+}
+
+fn tokio_stream<T>(mut rx: mpsc::Receiver<T>) -> impl futures::Stream<Item = T> {
+    futures::stream::poll_fn(move |cx| rx.poll_recv(cx))
+}
+
+impl Peer {
+    /// Chooses the least loaded upstream of a service that takes calls.
+    fn choose_gate(&self, service: &ServiceName) -> Option<Arc<Gate>> {
+        let gates = self.gates.load();
+        let list = gates.get(service)?;
+        let share = |gate: &&Arc<Gate>| {
+            let load = gate.load();
+            (
+                gate.is_draining(),
+                (load.running + load.waiting) * 1000 / load.limit.max(1),
+            )
+        };
+        list.iter().min_by_key(share).map(Arc::clone)
+    }
+
+    /// Returns the load of the service's upstreams here, in thousandths of their limit.
+    pub(super) fn load_of(&self, service: &ServiceName) -> usize {
+        let gates = self.gates.load();
+        let Some(list) = gates.get(service) else {
+            return 0;
+        };
+        let (busy, limit) = list.iter().fold((0, 0), |(busy, limit), gate| {
+            let load = gate.load();
+            (busy + load.running + load.waiting, limit + load.limit)
+        });
+        busy * 1000 / limit.max(1)
+    }
+
+    /// Names a less loaded node that runs the service, by what this node has observed.
+    ///
+    /// The idea of REDIRECT in RFC 5685, section 3: who refuses names another gateway.
+    fn redirect_hint(&self, service: &ServiceName) -> Option<NodeId> {
+        if !self.redirects {
+            return None;
+        }
+        let endpoints = self.state.endpoints();
+        let own = [self.state.identity.node];
+        let now = self.state.clock.now();
+        let found = Picker::default().pick(now, endpoints.get(service)?, &own, fastrand_below)?;
+        Some(found.node)
+    }
+}
+
+fn fastrand_below(n: usize) -> usize {
+    fastrand::usize(..n)
+}
--- /dev/null
+++ b/goldcresttally-proxy/src/peer/settle.rs
@@ -0,0 +1,64 @@
+//! Answers what became of an attempt, and cancels one.
+
+use std::time::Duration;
+
+use goldcresttally_core::{AttemptId, Deadline, Generation};
+use goldcresttally_ledger::Settlement;
+use http::{HeaderMap, Response};
+
+use super::Peer;
+use crate::body::{CallBody, full};
+use crate::errors::{CallError, Reason};
+use crate::headers;
+
+/// Longest time for which one question waits for an attempt's end, in milliseconds.
+const SETTLE_WAIT_LIMIT_MS: u64 = 30_000;
+
+impl Peer {
+    pub(super) async fn settle(&self, map: &HeaderMap) -> Response<CallBody> {
+        let Some(id) = headers::parse::<AttemptId>(map, &headers::ATTEMPT) else {
+            return CallError::not_run(Reason::BadRequest).into_response();
+        };
+        let generation = headers::parse::<Generation>(map, &headers::GENERATION);
+        // An earlier process at this address knew; this one must not say "not seen".
+        if generation != Some(self.state.identity.generation) {
+            return settlement_response(Settlement::Unknown);
+        }
+        let now = self.state.clock.now();
+        let wait = headers::time_left(map).unwrap_or(Duration::ZERO);
+        let deadline = Deadline::after(now, wait);
+        let limit = Deadline::after(now, Duration::from_millis(SETTLE_WAIT_LIMIT_MS)).min(deadline);
+        let until = self.state.clock.instant(limit);
+        settlement_response(self.attempts.settle(now, id, deadline, until).await)
+    }
+
+    pub(super) fn cancel(&self, map: &HeaderMap) -> Response<CallBody> {
+        let generation = headers::parse::<Generation>(map, &headers::GENERATION);
+        let id = headers::parse::<AttemptId>(map, &headers::ATTEMPT);
+        if let Some(id) = id.filter(|_| generation == Some(self.state.identity.generation)) {
+            self.attempts.cancel(id);
+        }
+        Response::new(full(""))
+    }
+}
+
+fn settlement_response(settlement: Settlement) -> Response<CallBody> {
+    let (text, answer) = match settlement {
+        Settlement::NotRun => ("not-run", None),
+        Settlement::Running => ("running", None),
+        Settlement::Unknown => ("unknown", None),
+        Settlement::Done(answer) => ("done", answer),
+    };
+    let mut response = match answer {
+        None => Response::new(full("")),
+        Some(answer) => {
+            let mut response = Response::new(full(answer.body));
+            *response.status_mut() = answer.status;
+            *response.headers_mut() = answer.headers;
+            headers::set(response.headers_mut(), headers::ANSWER, "kept");
+            response
+        }
+    };
+    headers::set(response.headers_mut(), headers::SETTLEMENT, &text);
+    response
+}
--- /dev/null
+++ b/goldcresttally-proxy/src/peer/ticket.rs
@@ -0,0 +1,56 @@
+//! What an attempt's headers say of it.
+
+use std::sync::Arc;
+
+use goldcresttally_core::{AttemptId, Deadline, Generation, RankName, ServiceName};
+use http::HeaderMap;
+
+use crate::errors::{CallError, Reason};
+use crate::headers;
+use crate::state::State;
+
+/// An attempt that came.
+#[derive(Debug, Clone)]
+pub(super) struct Ticket {
+    pub attempt: AttemptId,
+    pub service: ServiceName,
+    /// Position of the rank in the snapshot in force here; 0 is the most urgent.
+    pub rank: usize,
+    pub deadline: Deadline,
+    pub keyed: bool,
+}
+
+impl Ticket {
+    /// Reads the headers; an attempt meant for an earlier process at this address is refused.
+    pub fn read(headers: &HeaderMap, state: &Arc<State>) -> Result<Self, CallError> {
+        let refuse = |reason| Err(CallError::not_run(reason));
+        let Some(attempt) = headers::parse::<AttemptId>(headers, &headers::ATTEMPT) else {
+            return refuse(Reason::BadRequest);
+        };
+        let Some(service) = headers::parse::<ServiceName>(headers, &headers::SERVICE) else {
+            return refuse(Reason::BadRequest);
+        };
+        let Some(left) = headers::time_left(headers) else {
+            return refuse(Reason::BadRequest);
+        };
+        let generation = headers::parse::<Generation>(headers, &headers::GENERATION);
+        if generation != Some(state.identity.generation) {
+            return refuse(Reason::StaleGeneration);
+        }
+        if state.is_leaving() {
+            return refuse(Reason::Draining);
+        }
+        let name = headers::parse::<RankName>(headers, &headers::RANK);
+        let serving = state.serving();
+        let ranks = serving.snapshot.ranks();
+        let known = ranks.iter().position(|r| Some(&r.name) == name.as_ref());
+        Ok(Self {
+            attempt,
+            service,
+            // The entry may be a version ahead: a rank unknown here counts as the least urgent.
+            rank: known.unwrap_or(ranks.len()),
+            deadline: Deadline::after(state.clock.now(), left),
+            keyed: headers.contains_key(headers::KEYED),
+        })
+    }
+}
--- /dev/null
+++ b/goldcresttally-proxy/src/server.rs
@@ -0,0 +1,113 @@
+//! Accepts connections and finishes what is in flight when it stops.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use tower::util::Oneshot;
+use tower::{Service, ServiceExt};
+
+use crate::body::{CallBody, boxed};
+
+/// Time within which the head of a request must have come, in seconds.
+const HEAD_TIMEOUT_S: u64 = 15;
+
+/// Largest head of a request, in bytes.
+const HEAD_LIMIT_BYTES: usize = 64 * 1024;
+
+/// Calls in flight at once on one HTTP/2 connection.
+const STREAM_LIMIT: u32 = 4096;
+
+/// Time without a frame after which an HTTP/2 connection is pinged, in seconds.
+const PING_INTERVAL_S: u64 = 10;
+
+/// Bytes taken of one request before they are read.
+const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
+
+/// Bytes taken of all requests of a connection before they are read.
+const CONNECTION_WINDOW_BYTES: u32 = 4 * 1024 * 1024;
+
+/// Wait after a failed accept, in milliseconds.
+const ACCEPT_RETRY_MS: u64 = 50;
+
+/// Serves HTTP/1.1 and HTTP/2 on `listener` until `stop`, then finishes what is in flight.
+pub async fn serve<S>(
+    listener: TcpListener,
+    service: S,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+) where
+    S: Service<Request<CallBody>, Response = Response<CallBody>, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    let service = Adapter(service);
+    let builder = builder();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+            continue;
+        };
+        let Some(io) = prepare(stream) else { continue };
+        let connection = builder.serve_connection(io, service.clone()).into_owned();
+        let connection = graceful.watch(connection);
+        // How a connection ended is of no interest to others.
+        tasks.spawn(async move { drop(connection.await) });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+/// Lets a tower service that takes boxed bodies serve hyper's connections.
+#[derive(Debug, Clone)]
+struct Adapter<S>(S);
+
+impl<S> hyper::service::Service<Request<Incoming>> for Adapter<S>
+where
+    S: Service<Request<CallBody>, Response = Response<CallBody>, Error = Infallible> + Clone,
+{
+    type Response = Response<CallBody>;
+    type Error = Infallible;
+    type Future = Oneshot<S, Request<CallBody>>;
+
+    fn call(&self, req: Request<Incoming>) -> Self::Future {
+        self.0.clone().oneshot(req.map(boxed))
+    }
+}
+
+fn prepare(stream: TcpStream) -> Option<TokioIo<TcpStream>> {
+    stream.set_nodelay(true).ok()?;
+    Some(TokioIo::new(stream))
+}
+
+fn builder() -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_secs(HEAD_TIMEOUT_S))
+        .max_buf_size(HEAD_LIMIT_BYTES);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(Duration::from_secs(PING_INTERVAL_S))
+        .max_concurrent_streams(STREAM_LIMIT)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_header_list_size(HEAD_LIMIT_BYTES as u32);
+    builder
+}
--- /dev/null
+++ b/goldcresttally-proxy/src/transport.rs
@@ -0,0 +1,68 @@
+//! The border to the network, so that an experiment can cut or silence connections.
+
+use std::fmt::Debug;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpSocket;
+
+use crate::BoxFuture;
+
+/// A connection that carries bytes both ways.
+pub trait Connection: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin> Connection for T {}
+
+/// Opens connections and says which datagrams pass.
+pub trait Transport: Send + Sync + Debug {
+    /// Connects to `to`.
+    fn connect(&self, to: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Connection>>>;
+
+    /// Tells whether a datagram from this node to `to` may be sent.
+    fn passes(&self, to: SocketAddr) -> bool;
+}
+
+/// Plain TCP from one local address.
+#[derive(Debug, Clone, Copy)]
+pub struct TcpTransport {
+    local: Option<IpAddr>,
+}
+
+impl TcpTransport {
+    /// Returns a transport whose connections come from `local`, if that is given.
+    pub fn new(local: Option<IpAddr>) -> Self {
+        Self {
+            local: local.filter(|ip| !ip.is_unspecified()),
+        }
+    }
+
+    /// Connects to `to`.
+    pub async fn dial(self, to: SocketAddr) -> io::Result<tokio::net::TcpStream> {
+        let socket = if to.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        if let Some(local) = self.local.filter(|ip| ip.is_ipv4() == to.is_ipv4()) {
+            socket.bind(SocketAddr::new(local, 0))?;
+        }
+        let stream = socket.connect(to).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+}
+
+impl Transport for TcpTransport {
+    fn connect(&self, to: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Connection>>> {
+        let transport = *self;
+        Box::pin(async move {
+            let stream = transport.dial(to).await?;
+            Ok(Box::new(stream) as Box<dyn Connection>)
+        })
+    }
+
+    fn passes(&self, _to: SocketAddr) -> bool {
+        true
+    }
+}
--- /dev/null
+++ b/goldcresttally-routing/src/ejection.rs
@@ -0,0 +1,45 @@
+//! Endpoints that fail are left out for a while, up to a share of them.
+
+use std::time::Duration;
+
+use goldcresttally_core::MonoTime;
+
+use crate::endpoint::Endpoint;
+
+/// Options of ejection.
+#[derive(Debug, Clone)]
+pub struct Ejection {
+    /// Failures in a row after which an endpoint is left out.
+    pub failures: u32,
+    /// Time for which it is left out at first; doubles with further failures, up to 8 times.
+    pub base: Duration,
+    /// Largest share of the endpoints that is left out at once.
+    pub share: f64,
+}
+
+impl Default for Ejection {
+    fn default() -> Self {
+        Self {
+            failures: 3,
+            base: Duration::from_secs(1),
+            share: 0.5,
+        }
+    }
+}
+
+impl Ejection {
+    /// Notes a failure of `endpoint`, one of `all`; returns whether it is left out now.
+    pub fn on_failure(&self, now: MonoTime, endpoint: &Endpoint, all: &[Endpoint]) -> bool {
+        let failures = endpoint.observed.failed();
+        if failures < self.failures {
+            return false;
+        }
+        let ejected = all.iter().filter(|e| e.observed.is_ejected(now)).count() + 1;
+        if ejected as f64 > self.share * all.len() as f64 {
+            return false;
+        }
+        let doublings = (failures - self.failures).min(3);
+        endpoint.observed.eject(now + self.base * (1 << doublings));
+        true
+    }
+}
--- /dev/null
+++ b/goldcresttally-routing/src/throttle.rs
@@ -0,0 +1,58 @@
+//! Refuses early, at the entry, what the upstreams would refuse anyway.
+//!
+//! Client-side throttling after "Site Reliability Engineering" (Beyer et al., 2016), chapter 21:
+//! calls are refused with probability `(requests - K * accepts) / (requests + 1)`.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use goldcresttally_core::MonoTime;
+
+/// Requests let through for each one that was accepted.
+const MULTIPLIER: f64 = 1.5;
+
+/// Half-life of the counts, in milliseconds.
+const HALF_LIFE_MS: u64 = 1000;
+
+/// Counts of one service and rank; shared by the threads that serve calls.
+#[derive(Debug, Default)]
+pub struct Throttle {
+    requests: AtomicU64,
+    accepts: AtomicU64,
+    halved_at_us: AtomicU64,
+}
+
+impl Throttle {
+    /// Decides whether a call goes out; `random` is uniform in `0.0..1.0`.
+    pub fn admit(&self, now: MonoTime, random: f64) -> bool {
+        self.decay(now);
+        let requests = self.requests.fetch_add(1, Ordering::Relaxed) as f64;
+        let accepts = self.accepts.load(Ordering::Relaxed) as f64;
+        let refuse = (requests - MULTIPLIER * accepts - 10.0) / (requests + 1.0);
+        random >= refuse
+    }
+
+    /// Notes that an upstream took a call.
+    pub fn accepted(&self) {
+        self.accepts.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn decay(&self, now: MonoTime) {
+        let last = self.halved_at_us.load(Ordering::Relaxed);
+        if now.since(MonoTime(last)) < Duration::from_millis(HALF_LIFE_MS) {
+            return;
+        }
+        let exchange =
+            self.halved_at_us
+                .compare_exchange(last, now.0, Ordering::Relaxed, Ordering::Relaxed);
+        if exchange.is_ok() {
+            let halve = |n: u64| Some(n / 2);
+            let _ = self
+                .requests
+                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, halve);
+            let _ = self
+                .accepts
+                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, halve);
+        }
+    }
+}
--- /dev/null
+++ b/goldcresttally-standin/src/main.rs
@@ -0,0 +1,129 @@
+//! `goldcresttally-standin`: the platform or an upstream, for trying things out by hand.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use getopts::Options;
+use goldcresttally_standin::upstream::{Announce, Behaviour};
+use goldcresttally_standin::{Platform, Upstream};
+
+/// Exit code for a wrong command line.
+const EXIT_USAGE: u8 = 2;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match run(&args).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("goldcresttally-standin: {message}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("l", "listen", "serve at ADDRESS", "IP:PORT");
+    options.optopt(
+        "n",
+        "node",
+        "announce the upstream to the operator ADDRESS of its node",
+        "IP:PORT",
+    );
+    options.optopt(
+        "s",
+        "service",
+        "announce the upstream as SERVICE",
+        "SERVICE",
+    );
+    options.optopt("", "slots", "calls that the upstream runs at once (8)", "N");
+    options.optopt("", "service-ms", "time that one call takes (5)", "MS");
+    options.optopt(
+        "",
+        "cold-start-ms",
+        "time until the upstream is ready (0)",
+        "MS",
+    );
+    options.optflag("h", "help", "print this help and exit");
+    options
+}
+
+async fn run(args: &[String]) -> Result<(), String> {
+    let options = options();
+    let matches = options.parse(args).map_err(|e| e.to_string())?;
+    let role = matches.free.first().map(String::as_str);
+    if matches.opt_present("help") || role.is_none() {
+        print!(
+            "{}",
+            options.usage("Usage: goldcresttally-standin platform|upstream --listen IP:PORT")
+        );
+        return Ok(());
+    }
+    let listen: SocketAddr = required(&matches, "listen")?;
+    match role {
+        Some("platform") => {
+            let platform = Platform::start(listen)
+                .await
+                .map_err(|e| format!("{listen}: {e}"))?;
+            println!(
+                "platform at {}; PUT /faults switches faults",
+                platform.address()
+            );
+            wait_for_interrupt().await;
+            platform.stop().await;
+            Ok(())
+        }
+        Some("upstream") => run_upstream(listen, &matches).await,
+        Some(other) => Err(format!("`{other}`: expected platform or upstream")),
+        None => Ok(()),
+    }
+}
+
+async fn run_upstream(listen: SocketAddr, matches: &getopts::Matches) -> Result<(), String> {
+    let announce = Announce {
+        node: required(matches, "node")?,
+        service: required(matches, "service")?,
+    };
+    let default = Behaviour::default();
+    let behaviour = Behaviour {
+        slots: optional(matches, "slots", default.slots)?,
+        service_ms: optional(matches, "service-ms", default.service_ms)?,
+        cold_start_ms: optional(matches, "cold-start-ms", default.cold_start_ms)?,
+        ..default
+    };
+    let started = Upstream::start(listen, behaviour, Some(announce), Arc::default()).await;
+    let upstream = started.map_err(|e| format!("{listen}: {e}"))?;
+    println!(
+        "upstream at {}; PUT /stand-in/behaviour changes it",
+        upstream.address()
+    );
+    wait_for_interrupt().await;
+    upstream.stop().await;
+    Ok(())
+}
+
+fn required<T: std::str::FromStr>(matches: &getopts::Matches, name: &str) -> Result<T, String> {
+    let text = matches
+        .opt_str(name)
+        .ok_or_else(|| format!("--{name} is missing; see --help"))?;
+    text.parse()
+        .or(Err(format!("--{name}: `{text}` is not valid")))
+}
+
+fn optional<T: std::str::FromStr>(
+    matches: &getopts::Matches,
+    name: &str,
+    default: T,
+) -> Result<T, String> {
+    match matches.opt_str(name) {
+        None => Ok(default),
+        Some(_) => required(matches, name),
+    }
+}
+
+async fn wait_for_interrupt() {
+    // Without a handler the default action ends the process, which is as good.
+    let _ = tokio::signal::ctrl_c().await;
+}
--- /dev/null
+++ b/goldcresttally-standin/src/upstream/handle.rs
@@ -0,0 +1,149 @@
+//! The handlers of an upstream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Json;
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::http::{HeaderMap, HeaderValue, StatusCode};
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use serde_json::{Value, json};
+
+use super::{Behaviour, Record, Shared};
+use crate::platform::broken_response;
+
+/// Notes a cancellation when it is dropped before the call has ended.
+struct Running<'a> {
+    record: &'a Record,
+    ended: bool,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.record.cancel();
+        }
+    }
+}
+
+pub(super) async fn call(State(shared): State<Arc<Shared>>, req: Request) -> Response {
+    let behaviour = shared.behaviour();
+    let headers = req.headers().clone();
+    let path = req.uri().path().to_owned();
+    // Reading the body first: a call whose body breaks off does not run.
+    let Ok(body) = req.into_body().collect().await else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let body = body.to_bytes();
+    let crowd = behaviour.slots as usize + behaviour.backlog as usize;
+    let busy = behaviour.slots as usize
+        - shared
+            .slots
+            .available_permits()
+            .min(behaviour.slots as usize);
+    let waits = busy >= behaviour.slots as usize && behaviour.backlog == 0;
+    if behaviour.draining || waits || busy > crowd {
+        return shed(&shared);
+    }
+    let Ok(_slot) = shared.slots.acquire().await else {
+        return shed(&shared);
+    };
+    let call = text(&headers, "x-call-id");
+    shared.record.start(&call);
+    let mut running = Running {
+        record: &shared.record,
+        ended: false,
+    };
+    tokio::time::sleep(service_time(&headers, &behaviour)).await;
+    if behaviour.mute {
+        std::future::pending::<()>().await;
+    }
+    running.ended = true;
+    shared.record.finish(&call);
+    if behaviour.truncates {
+        return broken_response();
+    }
+    answer(&call, &path, &body, behaviour.answer_bytes)
+}
+
+fn answer(call: &str, path: &str, body: &Bytes, padding: usize) -> Response {
+    let head = json!({ "call": call, "path": path, "received": body.len() }).to_string();
+    let mut response = Response::new(Body::from(head + &" ".repeat(padding)));
+    let headers = response.headers_mut();
+    headers.insert("content-type", HeaderValue::from_static("application/json"));
+    if let Ok(value) = HeaderValue::from_str(call) {
+        headers.insert("x-call-id", value);
+    }
+    response
+}
+
+fn shed(shared: &Shared) -> Response {
+    shared.record.shed();
+    let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
+    response
+        .headers_mut()
+        .insert("tally-not-run", HeaderValue::from_static("true"));
+    response
+}
+
+fn service_time(headers: &HeaderMap, behaviour: &Behaviour) -> Duration {
+    let asked = text(headers, "x-service-ms")
+        .parse()
+        .unwrap_or(behaviour.service_ms);
+    Duration::from_secs_f64(asked.clamp(0.0, 60_000.0) / 1000.0)
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    headers
+        .get(name)
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+pub(super) async fn health(State(shared): State<Arc<Shared>>) -> StatusCode {
+    let behaviour = shared.behaviour();
+    let warm = shared.started.elapsed() >= Duration::from_millis(behaviour.cold_start_ms);
+    let healthy = behaviour
+        .reported_health
+        .unwrap_or(warm && !behaviour.draining);
+    if healthy {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+pub(super) async fn load(State(shared): State<Arc<Shared>>) -> Json<Value> {
+    let behaviour = shared.behaviour();
+    let busy = f64::from(behaviour.slots) - shared.slots.available_permits() as f64;
+    let load = behaviour
+        .reported_load
+        .unwrap_or(busy / f64::from(behaviour.slots.max(1)));
+    Json(json!({ "load": load }))
+}
+
+pub(super) async fn set_behaviour(
+    State(shared): State<Arc<Shared>>,
+    Json(behaviour): Json<Behaviour>,
+) {
+    shared.set_behaviour(behaviour);
+}
+
+pub(super) async fn show_record(State(shared): State<Arc<Shared>>) -> Json<Value> {
+    let doubled = shared
+        .record
+        .runs()
+        .values()
+        .filter(|r| r.started > 1)
+        .count();
+    Json(json!({
+        "calls": shared.record.runs().len(),
+        "doubled": doubled,
+        "cancelled": shared.record.cancelled(),
+        "shed": shared.record.shed_count(),
+    }))
+}
--- /dev/null
+++ b/goldcresttally-wire/src/datagram.rs
@@ -0,0 +1,68 @@
+//! Whole datagrams, in the packed encoding.
+
+use capnp::message::Builder;
+use capnp::serialize_packed;
+use goldcresttally_core::{Generation, Version};
+use goldcresttally_membership::{Body, Header, Message};
+
+use crate::errors::{Error, Result};
+use crate::wire_capnp::datagram;
+use crate::{DATAGRAM_LIMIT_BYTES, reader_options, record};
+
+/// Encodes `message`.
+pub fn encode(message: &Message) -> Result<Vec<u8>> {
+    let mut builder = Builder::new_default();
+    let mut to = builder.init_root::<datagram::Builder<'_>>();
+    to.set_from(message.header.from.to_string());
+    to.set_generation(message.header.generation.0);
+    to.set_version(message.header.version.0);
+    to.set_refused(message.header.refused.0);
+    let updates = to.reborrow().init_updates(message.updates.len() as u32);
+    record::write_list(&message.updates, updates);
+    write_body(&message.body, to.init_body());
+    let mut bytes = Vec::with_capacity(256);
+    serialize_packed::write_message(&mut bytes, &builder)?;
+    Ok(bytes)
+}
+
+fn write_body(body: &Body, mut to: datagram::body::Builder<'_>) {
+    match body {
+        Body::Ping { sequence } => to.set_ping(*sequence),
+        Body::Ack { sequence } => to.set_ack(*sequence),
+        Body::Gossip => to.set_gossip(()),
+        Body::PingRequest { sequence, target } => {
+            let mut to = to.init_ping_request();
+            to.set_sequence(*sequence);
+            to.set_target(target.to_string());
+        }
+    }
+}
+
+/// Decodes a datagram.
+pub fn decode(bytes: &[u8]) -> Result<Message> {
+    if bytes.len() > DATAGRAM_LIMIT_BYTES {
+        return Err(Error::Oversized { bytes: bytes.len() });
+    }
+    let reader = serialize_packed::read_message(bytes, reader_options())?;
+    let from = reader.get_root::<datagram::Reader<'_>>()?;
+    let header = Header {
+        from: from.get_from()?.to_str()?.parse()?,
+        generation: Generation(from.get_generation()),
+        version: Version(from.get_version()),
+        refused: Version(from.get_refused()),
+    };
+    let body = match from.get_body().which()? {
+        datagram::body::Ping(sequence) => Body::Ping { sequence },
+        datagram::body::Ack(sequence) => Body::Ack { sequence },
+        datagram::body::Gossip(()) => Body::Gossip,
+        datagram::body::PingRequest(request) => Body::PingRequest {
+            sequence: request.get_sequence(),
+            target: request.get_target()?.to_str()?.parse()?,
+        },
+    };
+    Ok(Message {
+        header,
+        body,
+        updates: record::read_list(from.get_updates()?)?,
+    })
+}
--- /dev/null
+++ b/goldcresttallyd/src/control/membership.rs
@@ -0,0 +1,168 @@
+//! Performs what the membership machine decides.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use goldcresttally_core::{NodeId, ServiceName, Version};
+use goldcresttally_distribution as distribution;
+use goldcresttally_membership::{Action, Announcement, Event, Message, Status};
+use goldcresttally_wire::datagram;
+
+use super::command::{LaggingNode, Rollout};
+use super::driver::{Control, Machines};
+use crate::events::{self, emit};
+
+/// Members asked for their version at one look at a rollout.
+const ASK_LIMIT: usize = 400;
+
+impl Control {
+    /// Gives an event to the machine and performs its actions.
+    pub(super) fn on_members(self: &Rc<Self>, event: Event) {
+        let mut actions = Vec::new();
+        let now = self.now();
+        self.machines
+            .borrow_mut()
+            .membership
+            .on_event(now, event, &mut actions);
+        for action in actions {
+            self.perform_members(action);
+        }
+    }
+
+    fn perform_members(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(to, &message),
+            Action::ViewChanged => self.view_changed.set(true),
+            Action::VersionSeen { from, version } => {
+                self.on_distribution(distribution::Event::PeerVersion { from, version });
+            }
+            Action::Sync { with } => self.spawn_sync(with),
+            Action::Superseded { by } => {
+                let details = format_args!(
+                    "generation {} incarnation {}",
+                    by.generation, by.incarnation
+                );
+                emit(events::NODE_SUPERSEDED, details);
+                self.peer.state().set_superseded(by.generation);
+                self.stop.cancel();
+            }
+            Action::Resumed { gap } => {
+                emit(
+                    events::PROCESS_RESUMED,
+                    format_args!("after {} ms", gap.as_millis()),
+                );
+                // Leases lapsed by this node's own clock must not be acted on.
+                self.expire_leases();
+                self.connections.clear();
+            }
+            Action::IsolationChanged { isolated: true } => emit(events::ISOLATED, format_args!("")),
+            Action::IsolationChanged { isolated: false } => {
+                emit(events::REUNITED, format_args!(""));
+            }
+        }
+    }
+
+    fn send(&self, to: NodeId, message: &Message) {
+        if !self.transport.passes(to.0) {
+            return;
+        }
+        let Ok(bytes) = datagram::encode(message) else {
+            return;
+        };
+        let mut traffic = self.traffic.get();
+        traffic.datagrams_out += 1;
+        traffic.bytes_out += bytes.len() as u64;
+        self.traffic.set(traffic);
+        // Datagrams may be lost anywhere; the protocol makes up for it.
+        let _ = self.socket.try_send_to(&bytes, to.0);
+    }
+
+    pub(super) fn on_datagram(self: &Rc<Self>, from: SocketAddr, bytes: &[u8]) {
+        let mut traffic = self.traffic.get();
+        traffic.datagrams_in += 1;
+        traffic.bytes_in += bytes.len() as u64;
+        self.traffic.set(traffic);
+        match datagram::decode(bytes) {
+            Ok(message) => self.on_members(Event::Received(message)),
+            Err(e) => emit(events::DATAGRAM_REFUSED, format_args!("from {from}: {e}")),
+        }
+    }
+
+    pub(super) fn on_announce(self: &Rc<Self>, announcement: Announcement) {
+        let details = announcement.clone();
+        let changed = self
+            .machines
+            .borrow_mut()
+            .registry
+            .announce(self.now(), announcement);
+        if changed {
+            let details = format_args!(
+                "{} at {} with {} slots, {}",
+                details.service, details.address, details.slots, details.state
+            );
+            emit(events::UPSTREAM_ANNOUNCED, details);
+            self.publish_upstreams();
+        }
+    }
+
+    pub(super) fn on_withdraw(self: &Rc<Self>, service: &ServiceName, address: SocketAddr) -> bool {
+        let known = self
+            .machines
+            .borrow_mut()
+            .registry
+            .withdraw(service, address);
+        if known {
+            emit(
+                events::UPSTREAM_WITHDRAWN,
+                format_args!("{service} at {address}"),
+            );
+            self.publish_upstreams();
+        }
+        known
+    }
+
+    pub(super) fn expire_leases(self: &Rc<Self>) {
+        let gone = self.machines.borrow_mut().registry.expire(self.now());
+        for upstream in &gone {
+            let details = format_args!("{} at {}", upstream.service, upstream.address);
+            emit(events::UPSTREAM_EXPIRED, details);
+        }
+        if !gone.is_empty() {
+            self.publish_upstreams();
+        }
+    }
+
+    /// Tells how far a version has come, and asks those that have not told.
+    pub(super) fn rollout(self: &Rc<Self>, version: Version) -> Rollout {
+        self.on_members(Event::AskVersions {
+            version,
+            limit: ASK_LIMIT,
+        });
+        let machines = self.machines.borrow();
+        let Machines { membership, .. } = &*machines;
+        let reports = membership.versions();
+        let members: Vec<_> = reports.iter().filter(|r| r.status.is_member()).collect();
+        let lagging: Vec<_> = members
+            .iter()
+            .filter(|r| r.version < version)
+            .map(|r| {
+                let reason = match (r.refused >= version, r.status) {
+                    (true, _) => "refused",
+                    (false, Status::Suspect) => "unreachable",
+                    (false, _) => "behind",
+                };
+                LaggingNode {
+                    node: r.id,
+                    version: r.version,
+                    reason: reason.to_owned(),
+                }
+            })
+            .collect();
+        Rollout {
+            version,
+            nodes: members.len(),
+            in_force: members.len() - lagging.len(),
+            lagging,
+        }
+    }
+}
--- /dev/null
+++ b/goldcresttallyd/src/control/server.rs
@@ -0,0 +1,244 @@
+//! Answers other nodes on the control listener.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use capnp::Error;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use goldcresttally_core::{NodeId, Version};
+use goldcresttally_distribution::Event;
+use goldcresttally_ledger::ClaimWrite as PendingClaim;
+use goldcresttally_membership as members;
+use goldcresttally_proxy::claims::ClaimWrite;
+use goldcresttally_wire::wire_capnp::control;
+use goldcresttally_wire::{reader_options, record, update};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use super::driver::Control;
+use super::idle::Watched;
+use crate::events::{self, emit};
+
+/// Most control connections that are open at once.
+const CONNECTION_LIMIT: usize = 1024;
+
+/// Time without a byte after which a connection is closed, in seconds.
+const SILENCE_LIMIT_S: u64 = 20;
+
+/// Joins that are served in one second; more are told to come later.
+const JOINS_PER_SECOND: u32 = 20;
+
+/// Most claims in one request.
+const CLAIM_LIMIT: u32 = 1024;
+
+/// Accepts control connections until the node stops.
+pub(super) async fn accept(control: Rc<Control>, listener: TcpListener) {
+    let open = Rc::new(());
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = control.stop.cancelled() => return,
+        };
+        let Ok((stream, from)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        if Rc::strong_count(&open) > CONNECTION_LIMIT {
+            continue;
+        }
+        let (open, serving) = (Rc::clone(&open), Rc::clone(&control));
+        control.tasks.spawn_local(async move {
+            serve(serving, stream, from).await;
+            drop(open);
+        });
+    }
+}
+
+async fn serve(control: Rc<Control>, stream: TcpStream, from: SocketAddr) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (stream, heard) = Watched::new(stream, Rc::clone(&control.traffic));
+    let (reader, writer) = tokio::io::split(stream);
+    let (reader, writer) = (reader.compat(), writer.compat_write());
+    let network = VatNetwork::new(reader, writer, Side::Server, reader_options());
+    let stop = control.stop.clone();
+    let client: control::Client = capnp_rpc::new_client(Service { control });
+    let mut system = RpcSystem::new(Box::new(network), Some(client.client));
+    let limit = Duration::from_secs(SILENCE_LIMIT_S);
+    loop {
+        let silent_at = tokio::time::Instant::from_std(heard.get() + limit);
+        tokio::select! {
+            ended = &mut system => {
+                if let Err(e) = ended {
+                    emit(events::CONTROL_CLOSED, format_args!("from {from}: {e}"));
+                }
+                return;
+            }
+            () = tokio::time::sleep_until(silent_at) => {
+                if heard.get().elapsed() >= limit {
+                    emit(events::CONTROL_SILENT, format_args!("from {from}"));
+                    return;
+                }
+            }
+            () = stop.cancelled() => return,
+        }
+    }
+}
+
+struct Service {
+    control: Rc<Control>,
+}
+
+fn refused(e: &goldcresttally_wire::Error) -> Error {
+    Error::failed(e.to_string())
+}
+
+impl Service {
+    /// Tells whether another join may be served in this second.
+    fn admits_join(&self) -> bool {
+        let second = self.control.now().0 / 1_000_000;
+        let (last, served) = self.control.joins_served.get();
+        let served = if last == second { served + 1 } else { 1 };
+        self.control.joins_served.set((second, served));
+        served <= JOINS_PER_SECOND
+    }
+}
+
+impl control::Server for Service {
+    async fn join(
+        self: Rc<Self>,
+        params: control::JoinParams,
+        mut results: control::JoinResults,
+    ) -> Result<(), Error> {
+        let joining = record::read(params.get()?.get_record()?).map_err(|e| refused(&e))?;
+        let mut results = results.get();
+        if !self.admits_join() {
+            results.set_busy(true);
+            return Ok(());
+        }
+        // The answer is made first: it must show what was known of the address before.
+        let (floor, version, records) = {
+            let machines = self.control.machines.borrow();
+            let membership = &machines.membership;
+            let records: Vec<_> = membership
+                .records()
+                .chain([membership.own()])
+                .cloned()
+                .collect();
+            (
+                membership.version_floor(joining.id),
+                machines.distribution.version(),
+                records,
+            )
+        };
+        results.set_floor(floor.0);
+        results.set_version(version.0);
+        record::write_list(&records, results.init_records(records.len() as u32));
+        self.control
+            .on_members(members::Event::Learned(vec![joining]));
+        Ok(())
+    }
+
+    async fn compare(
+        self: Rc<Self>,
+        params: control::CompareParams,
+        mut results: control::CompareResults,
+    ) -> Result<(), Error> {
+        let hashes: Vec<u64> = params.get()?.get_hashes()?.iter().collect();
+        let records = self.control.machines.borrow().membership.differing(&hashes);
+        record::write_list(&records, results.get().init_records(records.len() as u32));
+        Ok(())
+    }
+
+    async fn offer(
+        self: Rc<Self>,
+        params: control::OfferParams,
+        _results: control::OfferResults,
+    ) -> Result<(), Error> {
+        let records = record::read_list(params.get()?.get_records()?).map_err(|e| refused(&e))?;
+        self.control.on_members(members::Event::Learned(records));
+        Ok(())
+    }
+
+    async fn push(
+        self: Rc<Self>,
+        params: control::PushParams,
+        _results: control::PushResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let from: NodeId = params
+            .get_from()?
+            .to_str()?
+            .parse()
+            .map_err(|e: goldcresttally_core::Error| Error::failed(e.to_string()))?;
+        let update = update::read(params.get_update()?).map_err(|e| refused(&e))?;
+        self.control.on_distribution(Event::Pushed {
+            from,
+            update: Arc::new(update),
+        });
+        Ok(())
+    }
+
+    async fn fetch(
+        self: Rc<Self>,
+        params: control::FetchParams,
+        mut results: control::FetchResults,
+    ) -> Result<(), Error> {
+        let known = Version(params.get()?.get_known());
+        let held = self
+            .control
+            .machines
+            .borrow()
+            .distribution
+            .update_since(known);
+        update::write(&held, results.get().init_update());
+        Ok(())
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        params: control::ClaimParams,
+        mut results: control::ClaimResults,
+    ) -> Result<(), Error> {
+        let claims = params.get()?.get_claims()?;
+        if claims.len() > CLAIM_LIMIT {
+            return Err(Error::failed(format!("more than {CLAIM_LIMIT} claims")));
+        }
+        let mut waiting = Vec::new();
+        for claim in claims {
+            let (reply, answer) = oneshot::channel();
+            self.control.queue_claim(PendingClaim {
+                key: claim.get_key()?.to_string()?,
+                expected: claim.get_expected(),
+                value: claim.get_value()?.to_string()?,
+                reply,
+            });
+            waiting.push(answer);
+        }
+        let mut list = results.get().init_results(waiting.len() as u32);
+        for (i, answer) in waiting.into_iter().enumerate() {
+            let mut result = list.reborrow().get(i as u32);
+            match answer.await {
+                Ok(ClaimWrite::Written(revision)) => result.set_written(revision),
+                Ok(ClaimWrite::Conflict) => result.set_conflict(()),
+                Ok(ClaimWrite::Unavailable) => result.set_unavailable("table unavailable"),
+                Ok(ClaimWrite::Unknown) | Err(_) => result.set_unknown("answer lost"),
+            }
+        }
+        Ok(())
+    }
+
+    async fn ping(
+        self: Rc<Self>,
+        _params: control::PingParams,
+        _results: control::PingResults,
+    ) -> Result<(), Error> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/goldcresttallyd/src/control/spread.rs
@@ -0,0 +1,136 @@
+//! Performs what the distribution machine decides.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use goldcresttally_config::{Digest, Snapshot};
+use goldcresttally_core::{NodeId, Version};
+use goldcresttally_distribution::{Action, Bundle, Event, Source, VersionUpdate};
+use goldcresttally_membership as members;
+
+use super::driver::Control;
+use crate::events::{self, emit};
+
+impl Control {
+    /// Gives an event to the machine and performs its actions.
+    pub(super) fn on_distribution(self: &Rc<Self>, event: Event) {
+        let mut actions = Vec::new();
+        let now = self.now();
+        self.machines
+            .borrow_mut()
+            .distribution
+            .on_event(now, event, &mut actions);
+        for action in actions {
+            self.perform_distribution(action);
+        }
+    }
+
+    fn perform_distribution(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Poll => {
+                let control = Rc::clone(self);
+                self.tasks.spawn_local(async move { control.poll().await });
+            }
+            Action::Fetch {
+                source,
+                manifest,
+                known,
+            } => {
+                let control = Rc::clone(self);
+                self.tasks
+                    .spawn_local(async move { control.fetch(source, manifest, known).await });
+            }
+            Action::Install(bundle) => self.install(&bundle),
+            Action::Push { to, update } => {
+                let control = Rc::clone(self);
+                self.tasks
+                    .spawn_local(async move { control.push(to, update).await });
+            }
+            Action::Ready(version) => {
+                self.peer.state().set_ready();
+                emit(events::NODE_READY, format_args!("at version {version}"));
+            }
+        }
+    }
+
+    /// Builds the snapshot of a version and puts it in force whole, or refuses it whole.
+    fn install(self: &Rc<Self>, bundle: &Arc<Bundle>) {
+        let version = bundle.version();
+        let built = Snapshot::build(version, &bundle.sections());
+        match built.map(|snapshot| self.peer.state().install(snapshot)) {
+            Ok(true) => {
+                emit(events::VERSION_INSTALLED, format_args!("version {version}"));
+                self.on_distribution(Event::Installed(version));
+                // Limits and ranks of the gates come from the snapshot.
+                self.publish_upstreams();
+            }
+            // What is in force already is not put in force again.
+            Ok(false) => self.on_distribution(Event::Refused(version)),
+            Err(e) => {
+                emit(
+                    events::VERSION_REFUSED,
+                    format_args!("version {version}: {e}"),
+                );
+                *self.refusal.borrow_mut() = Some(Arc::from(e.to_string()));
+                self.on_distribution(Event::Refused(version));
+            }
+        }
+        self.tell_version();
+    }
+
+    fn tell_version(self: &Rc<Self>) {
+        let (version, refused): (Version, Version) = {
+            let machines = self.machines.borrow();
+            (
+                machines.distribution.version(),
+                machines.distribution.refused(),
+            )
+        };
+        self.on_members(members::Event::VersionChanged { version, refused });
+    }
+
+    async fn poll(self: Rc<Self>) {
+        match self.document.head().await {
+            Ok(head) => {
+                let (version, manifest) = (head.version, head.manifest);
+                self.on_distribution(Event::HeadRead { version, manifest });
+            }
+            Err(e) => {
+                emit(events::POLL_FAILED, format_args!("{e}"));
+                self.on_distribution(Event::PollFailed);
+            }
+        }
+    }
+
+    async fn push(self: Rc<Self>, to: NodeId, update: Arc<VersionUpdate>) {
+        let own = self.machines.borrow().membership.own().id;
+        if let Err(e) = self.connections.push(to, own, &update).await {
+            emit(
+                events::PUSH_FAILED,
+                format_args!("version {} to {to}: {e}", update.version),
+            );
+            self.on_distribution(Event::PushFailed { to, update });
+        }
+    }
+
+    async fn fetch(self: Rc<Self>, source: Source, manifest: Option<Digest>, known: Version) {
+        let fetched = match source {
+            Source::Platform => self.fetch_from_platform(manifest).await,
+            Source::Peer(from) => self
+                .connections
+                .fetch(from, known)
+                .await
+                .map_err(|e| e.to_string()),
+        };
+        match fetched {
+            Ok(update) => self.on_distribution(Event::Fetched {
+                source,
+                update: Arc::new(update),
+            }),
+            Err(e) => {
+                emit(events::FETCH_FAILED, format_args!("from {source:?}: {e}"));
+                self.on_distribution(Event::FetchFailed { source });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/goldcresttallyd/src/control/view.rs
@@ -0,0 +1,114 @@
+//! Makes what the request path reads from what the membership machine knows.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use goldcresttally_core::{Map, Set};
+use goldcresttally_distribution as distribution;
+use goldcresttally_membership::{Event, Record, UpstreamState};
+use goldcresttally_proxy::peer::LocalUpstream;
+use goldcresttally_proxy::state::EndpointTable;
+use goldcresttally_routing::{Endpoint, Locality};
+
+use super::driver::Control;
+
+impl Control {
+    /// Publishes the members: to distribution, and as endpoints to the request path.
+    pub(super) fn publish_view(self: &Rc<Self>) {
+        let (peers, records) = {
+            let machines = self.machines.borrow();
+            let members = machines.membership.members();
+            let records: Vec<Record> = members
+                .chain([machines.membership.own()])
+                .cloned()
+                .collect();
+            let own = machines.membership.own().id;
+            let others = records.iter().filter(|r| r.id != own);
+            let peer = |r: &Record| distribution::Peer {
+                id: r.id,
+                domain: r.domain.clone(),
+            };
+            (others.map(peer).collect(), records)
+        };
+        self.on_distribution(distribution::Event::Members(peers));
+        let live: Set<_> = records.iter().map(|r| r.peer).collect();
+        self.links.retain(|to| live.contains(to));
+        let state = self.peer.state();
+        let table = self.endpoints(&records, &state.endpoints());
+        state.set_endpoints(table);
+    }
+
+    fn endpoints(&self, records: &[Record], held: &EndpointTable) -> EndpointTable {
+        let machines = self.machines.borrow();
+        let own = machines.membership.own();
+        let mut lists: Map<_, Vec<Endpoint>> = Map::default();
+        for record in records.iter().filter(|r| !r.leaving) {
+            for upstream in &record.upstreams {
+                if upstream.state == UpstreamState::Draining {
+                    continue;
+                }
+                let list = lists.entry(upstream.service.clone()).or_default();
+                let ready = upstream.state == UpstreamState::Ready;
+                // Two upstreams of one service on one VM are one endpoint with their slots together.
+                if let Some(twin) = list.iter_mut().find(|e| e.node == record.id) {
+                    twin.slots += upstream.slots;
+                    twin.ready |= ready;
+                    continue;
+                }
+                let known = held.get(&upstream.service).and_then(|list| {
+                    let same =
+                        |e: &&Endpoint| e.node == record.id && e.generation == record.generation;
+                    list.iter().find(same)
+                });
+                list.push(Endpoint {
+                    node: record.id,
+                    generation: record.generation,
+                    peer: record.peer,
+                    locality: locality(own, record),
+                    slots: upstream.slots,
+                    ready,
+                    since: known
+                        .filter(|e| e.ready)
+                        .map_or_else(|| self.now(), |e| e.since),
+                    observed: known.map(|e| Arc::clone(&e.observed)).unwrap_or_default(),
+                });
+            }
+        }
+        lists
+            .into_iter()
+            .map(|(service, list)| (service, Arc::from(list)))
+            .collect()
+    }
+
+    /// Publishes the upstreams beside this node: to the gates at once, and to the members.
+    pub(super) fn publish_upstreams(self: &Rc<Self>) {
+        let (local, summary) = {
+            let machines = self.machines.borrow();
+            let now = self.now();
+            let local: Vec<_> = machines
+                .registry
+                .current(now)
+                .into_iter()
+                .map(|a| LocalUpstream {
+                    service: a.service,
+                    address: a.address,
+                    slots: a.slots,
+                    draining: a.state == UpstreamState::Draining,
+                })
+                .collect();
+            (local, machines.registry.summary(now))
+        };
+        self.peer.set_upstreams(&local);
+        self.on_members(Event::UpstreamsChanged(summary));
+        self.view_changed.set(false);
+        self.publish_view();
+    }
+}
+
+fn locality(own: &Record, other: &Record) -> Locality {
+    match (own.domain == other.domain, own.region == other.region) {
+        (true, _) => Locality::Domain,
+        (false, true) => Locality::Region,
+        (false, false) => Locality::Remote,
+    }
+}
--- /dev/null
+++ b/goldcresttallyd/src/events.rs
@@ -0,0 +1,64 @@
+//! Numbered log events; `docs/EVENTS.md` has the catalogue.
+
+use std::fmt;
+
+use log::Level;
+
+/// A kind of event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventKind {
+    /// Its number, which never changes.
+    pub number: u16,
+    /// Its level.
+    pub level: Level,
+    /// What it means, in a few words.
+    pub title: &'static str,
+}
+
+macro_rules! events {
+    ($($name:ident = $number:literal $level:ident $title:literal;)*) => {
+        $(
+            #[doc = $title]
+            pub const $name: EventKind =
+                EventKind { number: $number, level: Level::$level, title: $title };
+        )*
+
+        /// All kinds of events, ordered by number.
+        pub const CATALOGUE: &[EventKind] = &[$($name,)*];
+    };
+}
+
+events! {
+    NODE_STARTED = 1001 Info "node started";
+    NODE_LEAVING = 1002 Info "node is leaving: takes no new calls";
+    NODE_STOPPED = 1003 Info "node stopped";
+    NODE_SUPERSEDED = 1004 Error "a later process was seen at this address";
+    NODE_READY = 1005 Info "node may serve";
+    DRAIN_OVERRUN = 1006 Warn "drain deadline passed with calls in flight";
+    PROCESS_RESUMED = 1007 Warn "process was paused";
+    JOINED = 1101 Info "joined the members";
+    JOIN_FAILED = 1102 Warn "could not join";
+    ISOLATED = 1103 Warn "lost sight of most members: keeping known endpoints";
+    REUNITED = 1104 Info "sees most members again";
+    DATAGRAM_REFUSED = 1105 Warn "unreadable datagram";
+    VERSION_INSTALLED = 1201 Info "configuration version in force";
+    VERSION_REFUSED = 1202 Error "configuration version refused whole";
+    POLL_FAILED = 1203 Warn "table could not be read";
+    FETCH_FAILED = 1204 Warn "version could not be fetched";
+    PUSH_FAILED = 1205 Debug "version could not be pushed to a peer";
+    UPSTREAM_ANNOUNCED = 1301 Info "upstream announced itself or changed";
+    UPSTREAM_EXPIRED = 1302 Warn "upstream did not renew its lease";
+    UPSTREAM_WITHDRAWN = 1303 Info "upstream withdrew";
+    SECTION_WRITTEN = 1401 Info "section draft written";
+    VERSION_ACCEPTED = 1402 Info "document accepted";
+    OPERATOR_REFUSED = 1403 Warn "operator request refused";
+    CLAIM_WRITE_FAILED = 1501 Warn "claims could not be written";
+    CONTROL_CLOSED = 1601 Debug "control connection closed";
+    CONTROL_SILENT = 1602 Warn "control connection silent: closed";
+    METRICS_FAILED = 1701 Warn "metrics could not be sent";
+}
+
+/// Writes an event to the log.
+pub fn emit(kind: EventKind, details: fmt::Arguments<'_>) {
+    log::log!(target: "goldcresttally", kind.level, "E{} {}: {details}", kind.number, kind.title);
+}
--- /dev/null
+++ b/goldcresttallyd/src/lib.rs
@@ -0,0 +1,20 @@
+//! The node: one small process beside each upstream.
+//!
+//! * [`settings`]: YAML settings, checked.
+//! * [`events`]: numbered log events.
+//! * [`node`]: starts and stops the parts of one node.
+//! * [`control`]: the control thread; membership, distribution and claims.
+//! * [`operator`]: the HTTP interface for operators and upstreams.
+//! * [`metrics`]: counters to a StatsD address.
+//! * [`logging`]: sets up the log.
+
+pub mod control;
+pub mod events;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod operator;
+pub mod settings;
+
+pub use node::{Deps, Node};
+pub use settings::Settings;
--- /dev/null
+++ b/goldcresttallyd/src/logging.rs
@@ -0,0 +1,39 @@
+//! Sets up the log.
+
+use log::LevelFilter;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::file::FileAppender;
+use log4rs::config::{Appender, Config, Logger, Root};
+use log4rs::encode::pattern::PatternEncoder;
+
+use crate::settings::LogSettings;
+
+/// One line per event: time, level and text.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
+
+/// Sends the log where the settings say; standard error when no file is named.
+pub fn init(settings: &LogSettings) -> Result<(), String> {
+    let encoder = || Box::new(PatternEncoder::new(PATTERN));
+    let appender = if let Some(path) = &settings.file {
+        let file = FileAppender::builder().encoder(encoder()).build(&**path);
+        let file = file.map_err(|e| format!("log.file {path}: {e}"))?;
+        Appender::builder().build("main", Box::new(file))
+    } else {
+        let console = ConsoleAppender::builder()
+            .target(Target::Stderr)
+            .encoder(encoder());
+        Appender::builder().build("main", Box::new(console.build()))
+    };
+    let level: LevelFilter = settings.level.into();
+    let config = Config::builder()
+        .appender(appender)
+        .logger(Logger::builder().build("goldcresttally", level))
+        .build(
+            Root::builder()
+                .appender("main")
+                .build(LevelFilter::Warn.min(level)),
+        );
+    let config = config.map_err(|e| e.to_string())?;
+    log4rs::init_config(config).map_err(|e| e.to_string())?;
+    Ok(())
+}
--- /dev/null
+++ b/goldcresttallyd/src/node/mod.rs
@@ -0,0 +1,216 @@
+//! Starts and stops the parts of one node.
+
+mod stop;
+
+use std::io;
+use std::sync::Arc;
+
+use goldcresttally_admission::Policy;
+use goldcresttally_core::{Generation, Incarnation};
+use goldcresttally_membership::{Record, Status};
+use goldcresttally_platform::{Document, HttpPlatform};
+use goldcresttally_proxy::entry::{Entry, EntryService, Options, PeerService};
+use goldcresttally_proxy::link::Links;
+use goldcresttally_proxy::{Clock, Identity, Peer, State, TcpTransport, Transport, clock, server};
+use goldcresttally_report::Recorder;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::control::{self, ControlThread, KeeperClient};
+use crate::events::{self, emit};
+use crate::operator::{self, Operator};
+use crate::settings::Settings;
+
+/// What an embedder or an experiment may choose besides the settings.
+#[derive(Debug, Clone)]
+pub struct Deps {
+    /// The border to the network; plain TCP when absent.
+    pub transport: Option<Arc<dyn Transport>>,
+    /// How calls are ordered and limited beside the upstreams.
+    pub policy: Policy,
+    /// Choices of the entry.
+    pub entry: Options,
+    /// Drives random choices.
+    pub seed: u64,
+    /// The life of the process must be later than this.
+    pub after_generation: Generation,
+}
+
+impl Default for Deps {
+    fn default() -> Self {
+        Self {
+            transport: None,
+            policy: Policy::default(),
+            entry: Options::default(),
+            seed: fastrand::u64(..),
+            after_generation: Generation(0),
+        }
+    }
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    settings: Arc<Settings>,
+    state: Arc<State>,
+    peer: Arc<Peer>,
+    recorder: Arc<Recorder>,
+    control: ControlThread,
+    /// Stops the listener for callers.
+    stop_calls: CancellationToken,
+    /// Stops everything else.
+    stop: CancellationToken,
+    /// Tasks of calls and connections.
+    tasks: TaskTracker,
+    call_listeners: Vec<JoinHandle<()>>,
+    listeners: Vec<JoinHandle<()>>,
+}
+
+impl Node {
+    /// Binds all listeners and starts serving.
+    pub async fn start(settings: Settings, deps: Deps) -> io::Result<Self> {
+        let settings = Arc::new(settings);
+        let id = settings.node.control;
+        let generation = clock::wall_ms().max(deps.after_generation.next().0);
+        let generation = Generation(generation);
+        let identity = Identity {
+            node: id,
+            peer: settings.node.peer,
+            generation,
+        };
+        let state = Arc::new(State::new(identity, Clock::start()));
+        let tasks = TaskTracker::new();
+        let transport = deps
+            .transport
+            .unwrap_or_else(|| Arc::new(TcpTransport::new(Some(id.0.ip()))) as Arc<dyn Transport>);
+        let peer = Arc::new(Peer::new(
+            Arc::clone(&state),
+            Arc::clone(&transport),
+            tasks.clone(),
+            deps.policy,
+            settings.requests.redirects,
+        ));
+        let links = Links::new(Arc::clone(&state), Arc::clone(&transport), tasks.clone());
+        let links = Arc::new(links);
+        let control = ControlThread::start(control::Config {
+            own: own_record(&settings, generation),
+            transport,
+            peer: Arc::clone(&peer),
+            links: Arc::clone(&links),
+            platform: settings.platform,
+            seed: deps.seed,
+            settings: Arc::clone(&settings),
+        })
+        .await?;
+        let recorder = Arc::new(Recorder::default());
+        let table = HttpPlatform::new(settings.platform, Some(id.0.ip()));
+        let claims = Arc::new(KeeperClient::new(control.commands.clone(), table.clone()));
+        let entry = Entry::new(
+            Arc::clone(&peer),
+            links,
+            claims,
+            Arc::clone(&recorder),
+            tasks.clone(),
+            deps.entry,
+        );
+        let mut node = Self {
+            settings,
+            state,
+            peer,
+            recorder,
+            control,
+            stop_calls: CancellationToken::new(),
+            stop: CancellationToken::new(),
+            tasks,
+            call_listeners: Vec::new(),
+            listeners: Vec::new(),
+        };
+        node.listen(Arc::new(entry), table).await?;
+        emit(
+            events::NODE_STARTED,
+            format_args!("{id} generation {generation}"),
+        );
+        Ok(node)
+    }
+
+    async fn listen(&mut self, entry: Arc<Entry>, table: HttpPlatform) -> io::Result<()> {
+        let addresses = &self.settings.node;
+        let calls = TcpListener::bind(addresses.calls).await?;
+        let peers = TcpListener::bind(addresses.peer).await?;
+        let operators = TcpListener::bind(addresses.operator).await?;
+        let table = Arc::new(table);
+        let operator = Operator {
+            settings: Arc::clone(&self.settings),
+            document: Document::new(Arc::clone(&table) as _, table),
+            commands: self.control.commands.clone(),
+            peer: Arc::clone(&self.peer),
+            recorder: Arc::clone(&self.recorder),
+        };
+        let (tasks, stop) = (&self.tasks, &self.stop);
+        let serve = server::serve(
+            calls,
+            EntryService(entry),
+            self.stop_calls.clone(),
+            tasks.clone(),
+        );
+        self.call_listeners.push(tokio::spawn(serve));
+        let peer = PeerService(Arc::clone(&self.peer));
+        self.listeners.push(tokio::spawn(server::serve(
+            peers,
+            peer,
+            stop.clone(),
+            tasks.clone(),
+        )));
+        let serve = operator::serve(operators, operator, stop.clone());
+        self.listeners.push(tokio::spawn(serve));
+        if let Some(metrics) = self.settings.metrics.clone() {
+            let run = crate::metrics::run(metrics, Arc::clone(&self.peer), stop.clone());
+            self.listeners.push(tokio::spawn(run));
+        }
+        Ok(())
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Returns what the request path reads.
+    pub fn state(&self) -> &Arc<State> {
+        &self.state
+    }
+
+    /// Returns the part that runs calls beside the upstreams.
+    pub fn peer(&self) -> &Arc<Peer> {
+        &self.peer
+    }
+
+    /// Returns the way to give the control thread commands.
+    pub fn commands(&self) -> &tokio::sync::mpsc::Sender<control::Command> {
+        &self.control.commands
+    }
+
+    /// Waits until the control thread has ended by itself, as it does when a later process is
+    /// seen at this node's address.
+    pub async fn ended(&self) {
+        self.control.commands.closed().await;
+    }
+}
+
+fn own_record(settings: &Settings, generation: Generation) -> Record {
+    let node = &settings.node;
+    Record {
+        id: node.control,
+        peer: node.peer,
+        operator: node.operator,
+        domain: node.domain.clone(),
+        region: node.region.clone(),
+        generation,
+        incarnation: Incarnation(0),
+        status: Status::Alive,
+        leaving: false,
+        upstreams: Vec::new(),
+    }
+}
--- /dev/null
+++ b/goldcresttallyd/src/node/stop.rs
@@ -0,0 +1,94 @@
+//! The planned stop, which cuts nothing in flight, and the sudden one.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::Node;
+use crate::control::Command;
+use crate::events::{self, emit};
+
+/// Time that listeners have to close once nothing is in flight, in milliseconds.
+const CLOSE_LIMIT_MS: u64 = 1000;
+
+impl Node {
+    /// Stops as planned: tells the others, takes nothing new, and finishes what is in flight.
+    ///
+    /// Returns whether all that was in flight ended before the drain deadline.
+    pub async fn stop(mut self) -> bool {
+        let requests = self.settings.requests.clone();
+        let deadline = Instant::now() + Duration::from_millis(requests.drain_ms);
+        emit(
+            events::NODE_LEAVING,
+            format_args!("{}", self.state.identity.node),
+        );
+        self.state.set_leaving();
+        self.peer.drain();
+        // A control thread that has ended has told the others already.
+        let _ = self.control.commands.send(Command::Leave).await;
+        // Until the others know, they send calls here; these are refused as not run.
+        tokio::time::sleep(Duration::from_millis(requests.leave_notice_ms)).await;
+        self.stop_calls.cancel();
+        let calls_ended = join_by(deadline, &mut self.call_listeners).await;
+        // Attempts of other entries may still run here.
+        let attempts_ended = self.attempts_end(deadline).await;
+        if !(calls_ended && attempts_ended) {
+            emit(
+                events::DRAIN_OVERRUN,
+                format_args!("after {} ms", requests.drain_ms),
+            );
+        }
+        self.close().await;
+        calls_ended && attempts_ended
+    }
+
+    /// Stops at once, as a crash would: tells nobody and cuts what is in flight.
+    pub async fn kill(self) {
+        for listener in self.call_listeners.iter().chain(&self.listeners) {
+            listener.abort();
+        }
+        self.control.stop().await;
+    }
+
+    async fn attempts_end(&self, deadline: Instant) -> bool {
+        loop {
+            let running: usize = self
+                .peer
+                .loads()
+                .iter()
+                .map(|(_, _, l)| l.running + l.waiting)
+                .sum();
+            if running == 0 {
+                return true;
+            }
+            if Instant::now() >= deadline {
+                return false;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn close(mut self) {
+        self.stop.cancel();
+        let limit = Instant::now() + Duration::from_millis(CLOSE_LIMIT_MS);
+        join_by(limit, &mut self.listeners).await;
+        self.tasks.close();
+        // What is left are connections that others keep open.
+        let _ = tokio::time::timeout_at(limit, self.tasks.wait()).await;
+        let node = self.state.identity.node;
+        self.control.stop().await;
+        emit(events::NODE_STOPPED, format_args!("{node}"));
+    }
+}
+
+/// Waits for tasks to end; those that have not by `deadline` are aborted.
+async fn join_by(deadline: Instant, tasks: &mut Vec<tokio::task::JoinHandle<()>>) -> bool {
+    let mut ended = true;
+    for mut task in tasks.drain(..) {
+        if tokio::time::timeout_at(deadline, &mut task).await.is_err() {
+            task.abort();
+            ended = false;
+        }
+    }
+    ended
+}
--- /dev/null
+++ b/goldcresttallyd/src/settings/check.rs
@@ -0,0 +1,117 @@
+//! Checks that go beyond the type of a value, and conversion to the options of the parts.
+
+use std::time::Duration;
+
+use goldcresttally_distribution as distribution;
+use goldcresttally_membership as membership;
+
+use super::Settings;
+
+/// The key at fault and what is wrong with it.
+type Fault = (String, String);
+
+impl Settings {
+    pub(super) fn check(&self) -> Result<(), Fault> {
+        self.check_addresses()?;
+        let d = &self.distribution;
+        in_range(
+            "distribution.poll_interval_ms",
+            d.poll_interval_ms,
+            100,
+            60_000,
+        )?;
+        in_range("distribution.pollers", d.pollers as u64, 1, 16)?;
+        in_range("distribution.fanout", d.fanout as u64, 1, 64)?;
+        in_range("distribution.fleet_size", d.fleet_size.into(), 1, 1_000_000)?;
+        in_range(
+            "distribution.reads_per_second",
+            d.reads_per_second.into(),
+            1,
+            100_000,
+        )?;
+        if let Err(e) = d.mode.parse::<distribution::Mode>() {
+            return fault("distribution.mode", e.to_string());
+        }
+        let m = &self.membership;
+        in_range(
+            "membership.probe_interval_ms",
+            m.probe_interval_ms,
+            100,
+            60_000,
+        )?;
+        in_range(
+            "membership.probe_timeout_ms",
+            m.probe_timeout_ms,
+            10,
+            m.probe_interval_ms,
+        )?;
+        in_range("membership.suspicion_ms", m.suspicion_ms, 100, 600_000)?;
+        let r = &self.requests;
+        in_range("requests.leave_notice_ms", r.leave_notice_ms, 0, 60_000)?;
+        in_range("requests.drain_ms", r.drain_ms, 0, 3_600_000)?;
+        if !(0.1..=1000.0).contains(&r.claim_writes_per_second) {
+            return fault(
+                "requests.claim_writes_per_second",
+                "must be from 0.1 to 1000".to_owned(),
+            );
+        }
+        in_range("node.threads", self.node.threads as u64, 1, 64)
+    }
+
+    fn check_addresses(&self) -> Result<(), Fault> {
+        let node = &self.node;
+        let listeners = [
+            ("node.control", node.control.0),
+            ("node.peer", node.peer),
+            ("node.calls", node.calls),
+            ("node.operator", node.operator),
+        ];
+        for (i, (key, address)) in listeners.iter().enumerate() {
+            if address.ip().is_unspecified() || address.port() == 0 {
+                let message = "expected the IP and port by which other nodes reach this one";
+                return fault(key, message.to_owned());
+            }
+            if let Some((other, _)) = listeners[..i].iter().find(|(_, a)| a == address) {
+                return fault(key, format!("`{address}` is already used by {other}"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the options of distribution.
+    pub fn distribution_options(&self) -> distribution::Options {
+        let d = &self.distribution;
+        distribution::Options {
+            // Checked when the settings were read.
+            mode: d.mode.parse().unwrap_or_default(),
+            poll_interval: Duration::from_millis(d.poll_interval_ms),
+            pollers: d.pollers,
+            fanout: d.fanout,
+            fleet_size: d.fleet_size,
+            reads_per_second: d.reads_per_second,
+            ..distribution::Options::default()
+        }
+    }
+
+    /// Returns the options of membership.
+    pub fn membership_options(&self) -> membership::Options {
+        let m = &self.membership;
+        membership::Options {
+            probe_interval: Duration::from_millis(m.probe_interval_ms),
+            probe_timeout: Duration::from_millis(m.probe_timeout_ms),
+            suspicion_base: Duration::from_millis(m.suspicion_ms),
+            ..membership::Options::default()
+        }
+    }
+}
+
+fn in_range(key: &str, value: u64, least: u64, most: u64) -> Result<(), Fault> {
+    match (least..=most).contains(&value) {
+        true => Ok(()),
+        false => fault(key, format!("`{value}` is not from {least} to {most}")),
+    }
+}
+
+fn fault(key: &str, message: String) -> Result<(), Fault> {
+    Err((key.to_owned(), message))
+}
--- /dev/null
+++ b/goldcresttallyd/src/settings/mod.rs
@@ -0,0 +1,58 @@
+//! YAML settings; an error names key, line and what was expected.
+
+mod check;
+mod types;
+
+use std::fmt;
+
+pub use types::{
+    DistributionSettings, LogLevel, LogSettings, MembershipSettings, MetricsSettings, NodeSettings,
+    RequestSettings, Settings, TeamSettings,
+};
+
+/// Says what is wrong with the settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Error {
+    /// The key at fault, as in `node.peer`.
+    pub key: String,
+    /// The line, counted from 1, where it is known.
+    pub line: Option<usize>,
+    /// What is wrong and what was expected.
+    pub message: String,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("settings")?;
+        if let Some(line) = self.line {
+            write!(f, ", line {line}")?;
+        }
+        if !self.key.is_empty() && self.key != "." {
+            write!(f, ", {}", self.key)?;
+        }
+        write!(f, ": {}", self.message)
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl Settings {
+    /// Reads settings from YAML text and checks them.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let reader = serde_yaml_ng::Deserializer::from_str(text);
+        let settings: Self = serde_path_to_error::deserialize(reader).map_err(|e| {
+            let key = e.path().to_string();
+            let cause = e.into_inner();
+            Error {
+                key,
+                line: cause.location().map(|l| l.line()),
+                message: cause.to_string(),
+            }
+        })?;
+        settings.check().map_err(|(key, message)| {
+            let line = goldcresttally_config::parse::line_of(text, &key);
+            Error { key, line, message }
+        })?;
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/tally-lab/src/experiments/demo.rs
@@ -0,0 +1,158 @@
+//! The whole path in one process, told step by step.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use goldcresttally_standin::upstream::{Behaviour, Record};
+use http::Method;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use crate::documents;
+use crate::fleet::{Fleet, FleetOptions, Place};
+use crate::load::{Caller, Outcome, Spec, Tally};
+use crate::output::Report;
+
+/// Time that each step may take, in seconds.
+const STEP_LIMIT_S: u64 = 10;
+
+/// Calls made while things change.
+const CALLS: usize = 400;
+
+/// Runs the demonstration.
+pub async fn run(seed: u64) -> Result<Report, String> {
+    let started = Instant::now();
+    let say = |text: &str| eprintln!("{:>6.2} s  {text}", started.elapsed().as_secs_f64());
+    let limit = Duration::from_secs(STEP_LIMIT_S);
+    let places = vec![
+        Place::new(0, "no-east-1", "no-east"),
+        Place::new(1, "no-east-1", "no-east"),
+        Place::new(2, "no-east-2", "no-east"),
+    ];
+    let mut fleet = Fleet::start(FleetOptions::default(), places, seed)
+        .await
+        .map_err(|e| e.to_string())?;
+    say("a platform stand-in and three nodes in two failure domains are up");
+    let record = Arc::new(Record::default());
+    for i in 0..3 {
+        let behaviour = Behaviour {
+            slots: 12,
+            ..Behaviour::default()
+        };
+        fleet
+            .start_upstream(i, "booking", behaviour, &record)
+            .await
+            .map_err(|e| e.to_string())?;
+    }
+    fleet.put_section(0, "ranks", &documents::ranks()).await?;
+    fleet
+        .put_section(1, "booking", &documents::service("booking", 3000, 64))
+        .await?;
+    say("two sections are written");
+    let version = fleet.accept(2).await?;
+    let accepted = Instant::now();
+    if !fleet.wait_version(version, limit).await {
+        return Err(format!("version {version} is not in force on all nodes"));
+    }
+    let convergence_ms = accepted.elapsed().as_millis() as u64;
+    say(&format!(
+        "version {version} is in force on all nodes {convergence_ms} ms after the accept"
+    ));
+    if !fleet.wait_endpoints("booking", 3, limit).await {
+        return Err("not every node sees the three upstreams".to_owned());
+    }
+    say("three upstreams have announced themselves, and every node sees them");
+
+    let bad = fleet
+        .put_section(
+            0,
+            "bad",
+            "routes: [{path: /x, service: nowhere, rank: urgent, idempotent: true}]",
+        )
+        .await;
+    let refused = fleet.accept(0).await;
+    if bad.is_err() || refused.is_ok() {
+        return Err("a route to a service that there is not was accepted".to_owned());
+    }
+    say(&format!(
+        "a bad document is refused whole: {}",
+        refused.err().unwrap_or_default()
+    ));
+
+    let entries: Vec<_> = fleet.vms.iter().map(|vm| vm.place.calls()).collect();
+    let load = tokio::spawn(call_all(entries));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    if let Some(upstream) = &fleet.vms[1].upstream {
+        upstream.drain();
+    }
+    say("one upstream drains while calls are made");
+    if !fleet.wait_endpoints("booking", 2, limit).await {
+        return Err("a draining upstream still gets calls".to_owned());
+    }
+    say("no node sends it new calls any more");
+    let cleanly = fleet.stop_node(2).await;
+    say("one node has stopped as planned");
+    let tally = load.await.map_err(|e| e.to_string())?;
+    let violations = tally.violations(&record);
+    let answered = tally.answered();
+    say(&format!(
+        "{answered} of {} calls were answered; {violations:?}",
+        tally.offered()
+    ));
+    let ok = cleanly && violations.none() && tally.broken() == 0 && answered == tally.offered();
+    let mut figures = json!({
+        "experiment": "demo",
+        "nodes": 3,
+        "convergence_ms": convergence_ms,
+        "calls": tally.offered(),
+        "answered": answered,
+        "seconds": started.elapsed().as_secs_f64(),
+    });
+    violations.add_to(&mut figures);
+    fleet.shut_down().await;
+    Ok(Report { ok, figures })
+}
+
+/// Makes calls of all ranks through the two nodes that stay.
+async fn call_all(entries: Vec<std::net::SocketAddr>) -> Tally {
+    let caller = Caller::default();
+    let mut calls = JoinSet::new();
+    for n in 0..CALLS {
+        let rank = documents::RANKS[n % 3];
+        let kind = ["read", "write", "keyed"][n / 3 % 3];
+        let spec = Spec {
+            id: format!("call-{n}"),
+            path: format!("/booking/{rank}/{kind}"),
+            method: Method::POST,
+            key: (kind == "keyed").then(|| format!("key-{n}")),
+            body: Bytes::from("seats=2"),
+            ..Spec::default()
+        };
+        let (caller, entry) = (caller.clone(), entries[n % 2]);
+        calls.spawn(async move {
+            let (outcome, latency) = caller.call(entry, &spec).await;
+            (rank, spec, outcome, latency)
+        });
+        tokio::time::sleep(Duration::from_millis(8)).await;
+    }
+    let mut tally = Tally::default();
+    while let Some(ended) = calls.join_next().await {
+        let Ok((rank, spec, outcome, latency)) = ended else {
+            continue;
+        };
+        if outcome != Outcome::Answered {
+            eprintln!("          {} to {}: {outcome:?}", spec.id, spec.path);
+        }
+        let once = !spec.path.ends_with("read");
+        tally.add(
+            rank,
+            &spec.id,
+            once,
+            outcome,
+            latency,
+            Duration::from_secs(1),
+        );
+    }
+    tally
+}
--- /dev/null
+++ b/tally-lab/src/experiments/mod.rs
@@ -0,0 +1,3 @@
+//! The experiments.
+
+pub mod demo;
--- /dev/null
+++ b/tally-lab/src/main.rs
@@ -0,0 +1,58 @@
+//! `tally-lab`: the load and experiment tool.
+
+use std::process::ExitCode;
+
+use getopts::Options;
+use tally_lab::experiments::demo;
+use tally_lab::output::Report;
+
+/// Exit code for a wrong command line.
+const EXIT_USAGE: u8 = 2;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let options = options();
+    let matches = match options.parse(&args) {
+        Ok(matches) => matches,
+        Err(e) => {
+            eprintln!("tally-lab: {e}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if matches.opt_present("help") || matches.free.is_empty() {
+        print!("{}", options.usage("Usage: tally-lab demo [OPTIONS]"));
+        return ExitCode::SUCCESS;
+    }
+    match run(&matches).await {
+        Ok(report) => {
+            report.print();
+            if report.ok {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(message) => {
+            eprintln!("tally-lab: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("s", "seed", "seed of random choices (1)", "N");
+    options.optflag("h", "help", "print this help and exit");
+    options
+}
+
+async fn run(matches: &getopts::Matches) -> Result<Report, String> {
+    let seed = matches
+        .opt_get_default("seed", 1u64)
+        .map_err(|e| e.to_string())?;
+    match matches.free[0].as_str() {
+        "demo" => demo::run(seed).await,
+        other => Err(format!("`{other}`: no such experiment")),
+    }
+}
