--- a/goldcresttally-admission/src/limit.rs
+++ b/goldcresttally-admission/src/limit.rs
@@ -45,13 +45,7 @@
     /// Returns a limit that starts at `ceiling`.
     pub fn new(ceiling: u32) -> Self {
         let ceiling = f64::from(ceiling.max(1));
-        Self {
-            ceiling,
-            limit: ceiling,
-            latency_s: None,
-            baseline_s: None,
-            rest: None,
-        }
+        Self { ceiling, limit: ceiling, latency_s: None, baseline_s: None, rest: None }
     }
 
     /// Returns how many calls may run at once, at least 1.
@@ -85,15 +79,9 @@
     }
 
     fn on_answer(&mut self, now: MonoTime, sample_s: f64, running: usize) {
-        let average = self
-            .latency_s
-            .map_or(sample_s, |l| l + LATENCY_WEIGHT * (sample_s - l));
+        let average = self.latency_s.map_or(sample_s, |l| l + LATENCY_WEIGHT * (sample_s - l));
         let drifted = |b: f64| {
-            if sample_s < b {
-                sample_s
-            } else {
-                b + BASELINE_DRIFT * (sample_s - b)
-            }
+            if sample_s < b { sample_s } else { b + BASELINE_DRIFT * (sample_s - b) }
         };
         let baseline = self.baseline_s.map_or(sample_s, drifted);
         self.latency_s = Some(average);
@@ -109,9 +97,7 @@
         if self.rest.is_some_and(|rest| !rest.is_past(now)) {
             return;
         }
-        self.limit = (self.limit * DECREASE_FACTOR)
-            .max(floor.min(self.limit))
-            .max(1.0);
+        self.limit = (self.limit * DECREASE_FACTOR).max(floor.min(self.limit)).max(1.0);
         let rest = Duration::from_secs_f64(self.latency_s.unwrap_or(0.01));
         self.rest = Some(Deadline::after(now, rest));
     }
--- a/goldcresttally-admission/src/machine.rs
+++ b/goldcresttally-admission/src/machine.rs
@@ -64,12 +64,7 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self {
-            policy: Policy::default(),
-            concurrency: 1,
-            queue: 64,
-            floors: Vec::new(),
-        }
+        Self { policy: Policy::default(), concurrency: 1, queue: 64, floors: Vec::new() }
     }
 }
 
@@ -164,23 +159,13 @@
         let mut queue = RankedQueue::default();
         queue.set_floors(floors_of(&options));
         let limit = AdaptiveLimit::new(options.concurrency);
-        Self {
-            limit,
-            queue,
-            running: Map::default(),
-            draining: false,
-            options,
-        }
+        Self { limit, queue, running: Map::default(), draining: false, options }
     }
 
     /// Takes one event and appends what is to be done to `actions`.
     pub fn on_event(&mut self, now: MonoTime, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Offer {
-                call,
-                rank,
-                deadline,
-            } => {
+            Event::Offer { call, rank, deadline } => {
                 self.on_offer(now, call, rank, deadline, actions);
             }
             Event::Finish { call, outcome } => self.on_finish(now, call, outcome),
@@ -199,11 +184,7 @@
     /// Returns how loaded the upstream is.
     pub fn load(&self) -> Load {
         let limit = self.limit.get();
-        Load {
-            running: self.running.len(),
-            waiting: self.queue.len(),
-            limit,
-        }
+        Load { running: self.running.len(), waiting: self.queue.len(), limit }
     }
 
     /// Tells whether the upstream takes nothing new.
@@ -240,14 +221,7 @@
             actions.push(Action::Refuse(call, Refusal::Overloaded));
             return;
         }
-        self.queue.push(
-            lane,
-            Waiting {
-                call,
-                deadline,
-                arrived: now,
-            },
-        );
+        self.queue.push(lane, Waiting { call, deadline, arrived: now });
     }
 
     /// Tells whether a call of `rank` can be answered in time, by the work that goes before it.
@@ -257,11 +231,7 @@
         };
         let limit = self.limit.get();
         let busy = self.running.len() >= limit;
-        let turns = if busy {
-            self.queue.ahead_of(rank) + 1
-        } else {
-            0
-        };
+        let turns = if busy { self.queue.ahead_of(rank) + 1 } else { 0 };
         let wait = service_time.mul_f64(turns as f64 / limit as f64);
         !deadline.is_past(now + wait + service_time)
     }
@@ -284,19 +254,14 @@
     fn on_finish(&mut self, now: MonoTime, call: CallId, outcome: Outcome) {
         let running = self.running.len();
         if let Some(started) = self.running.remove(&call) {
-            self.limit
-                .observe(now, outcome, now.since(started), running);
+            self.limit.observe(now, outcome, now.since(started), running);
         }
     }
 
     fn on_drain(&mut self, actions: &mut Vec<Action>) {
         self.draining = true;
         let waiting = self.queue.drain_where(|_| true);
-        actions.extend(
-            waiting
-                .iter()
-                .map(|w| Action::Refuse(w.call, Refusal::Draining)),
-        );
+        actions.extend(waiting.iter().map(|w| Action::Refuse(w.call, Refusal::Draining)));
     }
 
     fn refuse_expired(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
@@ -304,19 +269,9 @@
             return;
         }
         // What cannot be answered in time any more only takes the place of what can.
-        let reserve = self
-            .limit
-            .service_time()
-            .unwrap_or(Duration::ZERO)
-            .div_f64(2.0);
-        let expired = self
-            .queue
-            .drain_where(|w| w.deadline.is_past(now + reserve));
-        actions.extend(
-            expired
-                .iter()
-                .map(|w| Action::Refuse(w.call, Refusal::Deadline)),
-        );
+        let reserve = self.limit.service_time().unwrap_or(Duration::ZERO).div_f64(2.0);
+        let expired = self.queue.drain_where(|w| w.deadline.is_past(now + reserve));
+        actions.extend(expired.iter().map(|w| Action::Refuse(w.call, Refusal::Deadline)));
     }
 
     fn dispatch(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
--- a/goldcresttally-admission/src/queue.rs
+++ b/goldcresttally-admission/src/queue.rs
@@ -57,11 +57,7 @@
 
     /// Returns how many calls would be served before one of `rank` that came now.
     pub fn ahead_of(&self, rank: usize) -> usize {
-        self.lanes
-            .iter()
-            .take(rank + 1)
-            .map(|l| l.waiting.len())
-            .sum()
+        self.lanes.iter().take(rank + 1).map(|l| l.waiting.len()).sum()
     }
 
     /// Adds a call at the end of its rank.
@@ -110,9 +106,7 @@
             let reserved = (lane.floor * capacity as f64).ceil() as usize;
             lane.waiting.len() > reserved
         };
-        let at = (rank + 1..self.lanes.len())
-            .rev()
-            .find(|i| over(&self.lanes[*i]))?;
+        let at = (rank + 1..self.lanes.len()).rev().find(|i| over(&self.lanes[*i]))?;
         self.len -= 1;
         self.lanes[at].waiting.pop_back()
     }
--- a/goldcresttally-cli/src/cli.rs
+++ b/goldcresttally-cli/src/cli.rs
@@ -68,9 +68,7 @@
     /// Parses a command line; `env` reads environment variables.
     pub fn parse(args: &[String], env: impl Fn(&str) -> Option<String>) -> Result<Parsed, Error> {
         let options = options();
-        let matches = options
-            .parse(args)
-            .map_err(|e| Error::usage(e.to_string()))?;
+        let matches = options.parse(args).map_err(|e| Error::usage(e.to_string()))?;
         if matches.opt_present("help")
             || (matches.free.is_empty() && !matches.opt_present("version"))
         {
@@ -81,26 +79,17 @@
             let version = env!("CARGO_PKG_VERSION");
             return Ok(Parsed::Text(format!("goldcresttally {version}\n")));
         }
-        let node = matches
-            .opt_str("node")
-            .or_else(|| env("GOLDCRESTTALLY_NODE"));
+        let node = matches.opt_str("node").or_else(|| env("GOLDCRESTTALLY_NODE"));
         let node = node.unwrap_or_else(|| DEFAULT_NODE.to_owned());
-        let node = node.parse().or(Err(Error::usage(format!(
-            "--node `{node}`: expected IP:PORT"
-        ))))?;
+        let node =
+            node.parse().or(Err(Error::usage(format!("--node `{node}`: expected IP:PORT"))))?;
         let token = match matches.opt_str("token-file") {
             Some(path) => Some(read_token(&path)?),
             None => env("GOLDCRESTTALLY_TOKEN"),
         };
         let json = matches.opt_present("json");
         let words = matches.free.clone();
-        Ok(Parsed::Command(Box::new(Self {
-            node,
-            token,
-            json,
-            words,
-            matches,
-        })))
+        Ok(Parsed::Command(Box::new(Self { node, token, json, words, matches })))
     }
 
     /// Returns the value of an option, parsed.
@@ -108,9 +97,8 @@
         let Some(text) = self.matches.opt_str(name) else {
             return Ok(None);
         };
-        let value = text.parse().or(Err(Error::usage(format!(
-            "--{name}: `{text}` is not valid"
-        ))))?;
+        let value =
+            text.parse().or(Err(Error::usage(format!("--{name}: `{text}` is not valid"))))?;
         Ok(Some(value))
     }
 
@@ -127,12 +115,7 @@
 
 fn options() -> Options {
     let mut options = Options::new();
-    options.optopt(
-        "n",
-        "node",
-        "operator address of any node ($GOLDCRESTTALLY_NODE)",
-        "IP:PORT",
-    );
+    options.optopt("n", "node", "operator address of any node ($GOLDCRESTTALLY_NODE)", "IP:PORT");
     options.optopt(
         "t",
         "token-file",
@@ -140,33 +123,18 @@
         "FILE",
     );
     options.optflag("j", "json", "print JSON");
-    options.optopt(
-        "r",
-        "revision",
-        "the revision that an edit is based on",
-        "N",
-    );
+    options.optopt("r", "revision", "the revision that an edit is based on", "N");
     options.optflagopt(
         "V",
         "version",
         "with `section get`: the accepted version; alone: print the tool's version",
         "N",
     );
-    options.optopt(
-        "",
-        "operation",
-        "name of an accept, to repeat it safely",
-        "ID",
-    );
+    options.optopt("", "operation", "name of an accept, to repeat it safely", "ID");
     options.optflag("w", "watch", "watch the accepted version take hold");
     options.optopt("", "timeout", "seconds to watch (60)", "S");
     options.optopt("", "limit", "versions to list (20)", "N");
-    options.optopt(
-        "f",
-        "format",
-        "form of a report: text, html or json",
-        "FORM",
-    );
+    options.optopt("f", "format", "form of a report: text, html or json", "FORM");
     options.optopt("o", "output", "write to FILE", "FILE");
     options.optflag("h", "help", "print this help and exit");
     options
--- a/goldcresttally-cli/src/client.rs
+++ b/goldcresttally-cli/src/client.rs
@@ -62,18 +62,13 @@
         if let Some(token) = &self.token {
             req = req.header("authorization", format!("Bearer {token}"));
         }
-        let req = req
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|e| Error::usage(e.to_string()))?;
+        let req =
+            req.body(Full::new(Bytes::from(body))).map_err(|e| Error::usage(e.to_string()))?;
         let response = self.client.request(req).await;
         let response = response.map_err(|e| self.unavailable(&e.to_string()))?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES)
-            .collect()
-            .await;
-        let body = body
-            .map_err(|e| self.unavailable(&e.to_string()))?
-            .to_bytes();
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES).collect().await;
+        let body = body.map_err(|e| self.unavailable(&e.to_string()))?.to_bytes();
         let text = String::from_utf8_lossy(&body).into_owned();
         if status.is_success() {
             return Ok(text);
@@ -83,9 +78,6 @@
     }
 
     fn unavailable(&self, cause: &str) -> Error {
-        Error::new(
-            ExitStatus::Unavailable,
-            format!("node {}: {cause}", self.node),
-        )
+        Error::new(ExitStatus::Unavailable, format!("node {}: {cause}", self.node))
     }
 }
--- a/goldcresttally-cli/src/commands/fleet.rs
+++ b/goldcresttally-cli/src/commands/fleet.rs
@@ -7,10 +7,7 @@
 use crate::errors::{Error, ExitStatus};
 
 pub(super) async fn nodes(cx: &mut Context<'_>) -> Result<(), Error> {
-    let list = cx
-        .client
-        .json(Method::GET, "/v1/nodes", String::new())
-        .await?;
+    let list = cx.client.json(Method::GET, "/v1/nodes", String::new()).await?;
     if cx.json(&list)? {
         return Ok(());
     }
@@ -25,18 +22,12 @@
 
 fn upstreams(list: &Value) -> String {
     let rows = table::rows(list, &["service", "state", "slots"]);
-    let texts: Vec<_> = rows
-        .iter()
-        .map(|r| format!("{} {} {} slots", r[0], r[1], r[2]))
-        .collect();
+    let texts: Vec<_> = rows.iter().map(|r| format!("{} {} {} slots", r[0], r[1], r[2])).collect();
     texts.join(", ")
 }
 
 pub(super) async fn status(cx: &mut Context<'_>) -> Result<(), Error> {
-    let status = cx
-        .client
-        .json(Method::GET, "/v1/status", String::new())
-        .await?;
+    let status = cx.client.json(Method::GET, "/v1/status", String::new()).await?;
     if cx.json(&status)? {
         return Ok(());
     }
@@ -54,11 +45,7 @@
     ] {
         cx.line(format!("{key:<12}{}", table::cell(&control[key])))?;
     }
-    cx.line(format!(
-        "{:<12}{}",
-        "leaving",
-        table::cell(&status["leaving"])
-    ))?;
+    cx.line(format!("{:<12}{}", "leaving", table::cell(&status["leaving"])))?;
     if control["refused"].as_u64().is_some_and(|v| v > 0) {
         let (version, why) = (&control["refused"], table::cell(&control["refusal"]));
         cx.line(format!("{:<12}version {version}: {why}", "refused"))?;
--- a/goldcresttally-cli/src/commands/mod.rs
+++ b/goldcresttally-cli/src/commands/mod.rs
@@ -39,10 +39,7 @@
         ["nodes"] => fleet::nodes(&mut cx).await,
         ["status"] => fleet::status(&mut cx).await,
         ["report", "burn"] => fleet::burn(&mut cx).await,
-        _ => Err(Error::usage(format!(
-            "`{}`: no such command; see --help",
-            words.join(" ")
-        ))),
+        _ => Err(Error::usage(format!("`{}`: no such command; see --help", words.join(" ")))),
     }
 }
 
--- a/goldcresttally-cli/src/commands/sections.rs
+++ b/goldcresttally-cli/src/commands/sections.rs
@@ -8,18 +8,12 @@
 use crate::errors::{Error, ExitStatus};
 
 pub(super) async fn list(cx: &mut Context<'_>) -> Result<(), Error> {
-    let list = cx
-        .client
-        .json(Method::GET, "/v1/sections", String::new())
-        .await?;
+    let list = cx.client.json(Method::GET, "/v1/sections", String::new()).await?;
     if cx.json(&list)? {
         return Ok(());
     }
     let rows = table::rows(&list, &["name", "owner", "revision", "digest"]);
-    cx.print(&table::render(
-        &["SECTION", "OWNER", "REVISION", "DIGEST"],
-        &rows,
-    ))
+    cx.print(&table::render(&["SECTION", "OWNER", "REVISION", "DIGEST"], &rows))
 }
 
 pub(super) async fn get(cx: &mut Context<'_>, name: &str) -> Result<(), Error> {
@@ -46,10 +40,7 @@
     if cx.json(&written)? {
         return Ok(());
     }
-    cx.line(format!(
-        "section {name} is at revision {}",
-        written["revision"]
-    ))
+    cx.line(format!("section {name} is at revision {}", written["revision"]))
 }
 
 pub(super) async fn remove(cx: &mut Context<'_>, name: &str) -> Result<(), Error> {
--- a/goldcresttally-cli/src/commands/versions.rs
+++ b/goldcresttally-cli/src/commands/versions.rs
@@ -19,10 +19,7 @@
 const ACCEPT_TRIES: usize = 5;
 
 pub(super) async fn validate(cx: &mut Context<'_>) -> Result<(), Error> {
-    let counts = cx
-        .client
-        .json(Method::POST, "/v1/validate", String::new())
-        .await?;
+    let counts = cx.client.json(Method::POST, "/v1/validate", String::new()).await?;
     if cx.json(&counts)? {
         return Ok(());
     }
@@ -33,19 +30,12 @@
 }
 
 pub(super) async fn diff(cx: &mut Context<'_>) -> Result<(), Error> {
-    let diff = cx
-        .client
-        .json(Method::GET, "/v1/diff", String::new())
-        .await?;
+    let diff = cx.client.json(Method::GET, "/v1/diff", String::new()).await?;
     if cx.json(&diff)? {
         return Ok(());
     }
     let changes = diff["changes"].as_array().cloned().unwrap_or_default();
-    cx.line(format!(
-        "{} sections differ from version {}",
-        changes.len(),
-        diff["version"]
-    ))?;
+    cx.line(format!("{} sections differ from version {}", changes.len(), diff["version"]))?;
     for change in &changes {
         let name = table::cell(&change["section"]);
         cx.line(format!("{} {name}", table::cell(&change["change"])))?;
@@ -65,12 +55,8 @@
     let rest = old.len().min(new.len()) - start;
     let pairs = old.iter().rev().zip(new.iter().rev());
     let end = pairs.take(rest).take_while(|(a, b)| a == b).count();
-    let removed = old[start..old.len() - end]
-        .iter()
-        .map(|l| format!("  -{l}"));
-    let added = new[start..new.len() - end]
-        .iter()
-        .map(|l| format!("  +{l}"));
+    let removed = old[start..old.len() - end].iter().map(|l| format!("  -{l}"));
+    let added = new[start..new.len() - end].iter().map(|l| format!("  +{l}"));
     removed.chain(added).collect()
 }
 
@@ -110,22 +96,15 @@
     if cx.json(&list)? {
         return Ok(());
     }
-    let rows = table::rows(
-        &list,
-        &["version", "accepted_by", "accepted_at_ms", "manifest"],
-    );
-    cx.print(&table::render(
-        &["VERSION", "ACCEPTED BY", "AT (MS SINCE EPOCH)", "MANIFEST"],
-        &rows,
-    ))
+    let rows = table::rows(&list, &["version", "accepted_by", "accepted_at_ms", "manifest"]);
+    cx.print(&table::render(&["VERSION", "ACCEPTED BY", "AT (MS SINCE EPOCH)", "MANIFEST"], &rows))
 }
 
 pub(super) async fn watch(cx: &mut Context<'_>, version: Option<&str>) -> Result<(), Error> {
     let path = match version {
         Some(text) => {
-            let version: u64 = text
-                .parse()
-                .or(Err(Error::usage(format!("`{text}` is not a version"))))?;
+            let version: u64 =
+                text.parse().or(Err(Error::usage(format!("`{text}` is not a version"))))?;
             format!("/v1/rollout?version={version}")
         }
         None => "/v1/rollout".to_owned(),
@@ -139,10 +118,7 @@
         let line = progress(&rollout);
         if line != last {
             if !cx.json(&rollout)? {
-                cx.line(format!(
-                    "{:>6.2} s  {line}",
-                    started.elapsed().as_secs_f64()
-                ))?;
+                cx.line(format!("{:>6.2} s  {line}", started.elapsed().as_secs_f64()))?;
             }
             last = line;
         }
--- a/goldcresttally-cli/src/errors.rs
+++ b/goldcresttally-cli/src/errors.rs
@@ -39,11 +39,7 @@
 impl Error {
     /// Returns the failure `status` with a message.
     pub fn new(status: ExitStatus, message: impl Into<String>) -> Self {
-        Self {
-            status,
-            message: message.into(),
-            details: None,
-        }
+        Self { status, message: message.into(), details: None }
     }
 
     /// Returns the failure of a wrong command line.
@@ -61,14 +57,9 @@
             502..=504 => ExitStatus::Unavailable,
             _ => ExitStatus::Failure,
         };
-        let message = error["message"]
-            .as_str()
-            .map_or_else(|| format!("status {status}"), str::to_owned);
-        Self {
-            status: exit,
-            message,
-            details: Some(error.clone()),
-        }
+        let message =
+            error["message"].as_str().map_or_else(|| format!("status {status}"), str::to_owned);
+        Self { status: exit, message, details: Some(error.clone()) }
     }
 }
 
--- a/goldcresttally-config/src/document.rs
+++ b/goldcresttally-config/src/document.rs
@@ -33,11 +33,7 @@
 impl Default for ServiceSpec {
     fn default() -> Self {
         let objective = Share::try_from(0.99).unwrap_or_default();
-        Self {
-            max_concurrency: 1024,
-            queue: 64,
-            objective,
-        }
+        Self { max_concurrency: 1024, queue: 64, objective }
     }
 }
 
--- a/goldcresttally-config/src/errors.rs
+++ b/goldcresttally-config/src/errors.rs
@@ -33,12 +33,7 @@
 
     /// Returns the error for the document as a whole.
     pub fn whole(message: impl Into<String>) -> Self {
-        Self {
-            section: None,
-            path: String::new(),
-            line: None,
-            message: message.into(),
-        }
+        Self { section: None, path: String::new(), line: None, message: message.into() }
     }
 
     /// Adds the line at which the value stands.
--- a/goldcresttally-config/src/manifest.rs
+++ b/goldcresttally-config/src/manifest.rs
@@ -54,11 +54,7 @@
     /// Returns the names that `base` holds and `self` does not.
     pub fn removed_since(&self, base: &Self) -> Vec<SectionName> {
         let gone = |e: &&SectionEntry| self.get(&e.name).is_none();
-        base.sections
-            .iter()
-            .filter(gone)
-            .map(|e| e.name.clone())
-            .collect()
+        base.sections.iter().filter(gone).map(|e| e.name.clone()).collect()
     }
 
     /// Applies a difference to `self`, giving the manifest of `version`.
--- a/goldcresttally-config/src/parse.rs
+++ b/goldcresttally-config/src/parse.rs
@@ -8,11 +8,8 @@
 /// Reads the section `name` from `text`; unknown fields and oversized text are refused.
 pub fn parse_section(name: &SectionName, text: &str) -> Result<Section> {
     if text.len() > crate::SECTION_LIMIT_BYTES {
-        let message = format!(
-            "{} bytes, but at most {} are allowed",
-            text.len(),
-            crate::SECTION_LIMIT_BYTES
-        );
+        let message =
+            format!("{} bytes, but at most {} are allowed", text.len(), crate::SECTION_LIMIT_BYTES);
         return Err(Error::at(name, "", message));
     }
     if text.trim().is_empty() {
@@ -39,9 +36,7 @@
             let line = line.trim_start();
             let hit = match index {
                 Some(_) => line.starts_with("- "),
-                None => line
-                    .trim_start_matches("- ")
-                    .starts_with(&format!("{step}:")),
+                None => line.trim_start_matches("- ").starts_with(&format!("{step}:")),
             };
             if hit && left == 0 {
                 found = Some(i + 1);
--- a/goldcresttally-config/src/snapshot/build.rs
+++ b/goldcresttally-config/src/snapshot/build.rs
@@ -24,9 +24,7 @@
             sections.push((name, parse_section(name, text)?));
         }
         let with_line = |e: Error| {
-            let body = bodies
-                .iter()
-                .find(|(name, _)| Some(name) == e.section.as_ref());
+            let body = bodies.iter().find(|(name, _)| Some(name) == e.section.as_ref());
             let line = body.and_then(|(_, text)| line_of(text, &e.path));
             e.with_line(line)
         };
@@ -34,10 +32,7 @@
     }
 
     fn link(version: Version, sections: &[(&SectionName, Section)]) -> Result<Self> {
-        let mut snapshot = Self {
-            version,
-            ..Self::default()
-        };
+        let mut snapshot = Self { version, ..Self::default() };
         snapshot.add_services(sections)?;
         let ranks = snapshot.add_ranks(sections)?;
         for (name, section) in sections {
@@ -49,9 +44,8 @@
     }
 
     fn add_services(&mut self, sections: &[(&SectionName, Section)]) -> Result<()> {
-        for (section, name, spec) in sections
-            .iter()
-            .flat_map(|(s, c)| c.services.iter().map(move |(n, spec)| (*s, n, spec)))
+        for (section, name, spec) in
+            sections.iter().flat_map(|(s, c)| c.services.iter().map(move |(n, spec)| (*s, n, spec)))
         {
             let path = format!("services.{name}");
             if spec.max_concurrency == 0 {
@@ -65,11 +59,7 @@
                 objective: spec.objective,
             });
             if self.services.insert(name.clone(), service).is_some() {
-                return Err(Error::at(
-                    section,
-                    path,
-                    "another section defines this service too",
-                ));
+                return Err(Error::at(section, path, "another section defines this service too"));
             }
         }
         Ok(())
@@ -130,25 +120,16 @@
             Err(Error::at(section, format!("routes[{i}].{field}"), message))
         };
         let Some(service) = self.services.get(&spec.service) else {
-            return fail(
-                "service",
-                format!("no section defines the service `{}`", spec.service),
-            );
+            return fail("service", format!("no section defines the service `{}`", spec.service));
         };
         let Some(rank) = ranks.get(&spec.rank) else {
-            return fail(
-                "rank",
-                format!("no section defines the rank `{}`", spec.rank),
-            );
+            return fail("rank", format!("no section defines the rank `{}`", spec.rank));
         };
         if !spec.path.starts_with('/') {
             return fail("path", format!("`{}` does not start with `/`", spec.path));
         }
         if !(1..=TIMEOUT_LIMIT_MS).contains(&spec.timeout_ms) {
-            return fail(
-                "timeout_ms",
-                format!("must be from 1 to {TIMEOUT_LIMIT_MS}"),
-            );
+            return fail("timeout_ms", format!("must be from 1 to {TIMEOUT_LIMIT_MS}"));
         }
         let route = Arc::new(Route {
             host: spec.host.clone(),
@@ -164,10 +145,9 @@
         });
         match self.routes.insert(route) {
             None => Ok(()),
-            Some(_) => fail(
-                "path",
-                format!("`{}` is routed twice for this host and method", spec.path),
-            ),
+            Some(_) => {
+                fail("path", format!("`{}` is routed twice for this host and method", spec.path))
+            }
         }
     }
 }
--- a/goldcresttally-config/src/snapshot/matching.rs
+++ b/goldcresttally-config/src/snapshot/matching.rs
@@ -17,9 +17,7 @@
     /// Adds `route`; returns the route that already serves the same host, method and path.
     pub fn insert(&mut self, route: Arc<Route>) -> Option<Arc<Route>> {
         let same = self.by_path.entry(Arc::clone(&route.path)).or_default();
-        let twin = same
-            .iter()
-            .find(|r| r.host == route.host && r.method == route.method);
+        let twin = same.iter().find(|r| r.host == route.host && r.method == route.method);
         if let Some(twin) = twin {
             return Some(Arc::clone(twin));
         }
@@ -47,9 +45,7 @@
 
     fn find_at(&self, prefix: &str, host: &str, method: &str) -> Option<&Arc<Route>> {
         self.by_path.get(prefix)?.iter().find(|r| {
-            r.host
-                .as_deref()
-                .is_none_or(|h| h.eq_ignore_ascii_case(host))
+            r.host.as_deref().is_none_or(|h| h.eq_ignore_ascii_case(host))
                 && r.method.as_deref().is_none_or(|m| m == method)
         })
     }
--- a/goldcresttally-core/src/errors.rs
+++ b/goldcresttally-core/src/errors.rs
@@ -18,9 +18,5 @@
 pub fn invalid<T>(kind: &'static str, text: &str, expected: &'static str) -> Result<T> {
     // Bounds what an attacker can make the log print.
     let text = text.chars().take(120).collect();
-    Err(Error {
-        kind,
-        text,
-        expected,
-    })
+    Err(Error { kind, text, expected })
 }
--- a/goldcresttally-core/src/ids.rs
+++ b/goldcresttally-core/src/ids.rs
@@ -160,9 +160,7 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self> {
-        text.parse()
-            .map(Self)
-            .or_else(|_| invalid("node address", text, "IP:port"))
+        text.parse().map(Self).or_else(|_| invalid("node address", text, "IP:port"))
     }
 }
 
@@ -197,11 +195,7 @@
         let Ok(sequence) = sequence.parse() else {
             return wrong();
         };
-        Ok(Self {
-            origin: origin.parse()?,
-            generation: generation.parse()?,
-            sequence,
-        })
+        Ok(Self { origin: origin.parse()?, generation: generation.parse()?, sequence })
     }
 }
 
--- a/goldcresttally-core/src/time.rs
+++ b/goldcresttally-core/src/time.rs
@@ -24,10 +24,7 @@
     type Output = Self;
 
     fn add(self, rhs: Duration) -> Self {
-        Self(
-            self.0
-                .saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)),
-        )
+        Self(self.0.saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)))
     }
 }
 
--- a/goldcresttally-core/src/units.rs
+++ b/goldcresttally-core/src/units.rs
@@ -33,11 +33,7 @@
         };
         match digits.parse::<u32>() {
             Ok(n) if u64::from(n) << shift <= 1 << 32 => Ok(Self((n as usize) << shift)),
-            _ => invalid(
-                "size",
-                text,
-                "a number of bytes, or one followed by KiB or MiB",
-            ),
+            _ => invalid("size", text, "a number of bytes, or one followed by KiB or MiB"),
         }
     }
 }
--- a/goldcresttally-distribution/src/bundle.rs
+++ b/goldcresttally-distribution/src/bundle.rs
@@ -40,18 +40,12 @@
     /// Applies `update`; returns `None` when it starts elsewhere or its digest does not match.
     pub fn patched(&self, update: &VersionUpdate) -> Option<Self> {
         let empty = Self::default();
-        let base = if update.base == Version(0) {
-            &empty
-        } else {
-            self
-        };
+        let base = if update.base == Version(0) { &empty } else { self };
         if update.base != base.version() || update.version <= update.base {
             return None;
         }
         let changed: Vec<_> = update.changed.iter().map(ChangedSection::entry).collect();
-        let manifest = base
-            .manifest
-            .patched(update.version, &changed, &update.removed);
+        let manifest = base.manifest.patched(update.version, &changed, &update.removed);
         if manifest.digest() != update.manifest {
             return None;
         }
@@ -60,11 +54,7 @@
         known.extend(fresh.map(|(entry, section)| (entry.digest, Arc::clone(&section.body))));
         let body = |e: &SectionEntry| Some((e.digest, Arc::clone(known.get(&e.digest)?)));
         let bodies = manifest.sections.iter().map(body).collect::<Option<_>>()?;
-        Some(Self {
-            digest: Some(update.manifest),
-            manifest,
-            bodies,
-        })
+        Some(Self { digest: Some(update.manifest), manifest, bodies })
     }
 
     /// Returns what this version changes against the one that `base` lists.
@@ -77,12 +67,7 @@
             version: self.version(),
             base: base.version,
             manifest: self.digest.unwrap_or_else(|| self.manifest.digest()),
-            changed: self
-                .manifest
-                .changed_since(base)
-                .into_iter()
-                .filter_map(section)
-                .collect(),
+            changed: self.manifest.changed_since(base).into_iter().filter_map(section).collect(),
             removed: self.manifest.removed_since(base),
         }
     }
--- a/goldcresttally-distribution/src/machine/fetch.rs
+++ b/goldcresttally-distribution/src/machine/fetch.rs
@@ -90,31 +90,20 @@
         if version <= self.version().max(self.refused) {
             return;
         }
-        let known = self
-            .fetching
-            .candidates
-            .iter()
-            .any(|(id, v)| *id == from && *v == version);
+        let known = self.fetching.candidates.iter().any(|(id, v)| *id == from && *v == version);
         if known {
             return;
         }
         let waiting = self.fetching.not_before;
         self.fetching.want_from_peer(now, from, version);
-        let delay = self
-            .options
-            .repair_delay
-            .mul_f64(0.6 + 0.8 * self.rng.f64());
+        let delay = self.options.repair_delay.mul_f64(0.6 + 0.8 * self.rng.f64());
         // A node that may not serve yet has no push to wait for.
         let delay = if self.ready { delay } else { Duration::ZERO };
         self.fetching.not_before = waiting.or(Some(Deadline::after(now, delay)));
     }
 
     pub(super) fn fetch_if_due(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
-        if self
-            .fetching
-            .in_flight
-            .is_some_and(|(_, deadline)| deadline.is_past(now))
-        {
+        if self.fetching.in_flight.is_some_and(|(_, deadline)| deadline.is_past(now)) {
             self.fetching.in_flight = None;
             self.fetching.tries += 1;
         }
@@ -129,10 +118,6 @@
         };
         let deadline = Deadline::after(now, self.options.fetch_timeout);
         self.fetching.in_flight = Some((source, deadline));
-        actions.push(Action::Fetch {
-            source,
-            manifest,
-            known: self.version(),
-        });
+        actions.push(Action::Fetch { source, manifest, known: self.version() });
     }
 }
--- a/goldcresttally-distribution/src/machine/mod.rs
+++ b/goldcresttally-distribution/src/machine/mod.rs
@@ -43,6 +43,8 @@
         /// The digest of its manifest; `None` for version 0.
         manifest: Option<Digest>,
     },
+    /// This node accepted a version on behalf of an operator; the update is complete.
+    Accepted(Arc<VersionUpdate>),
     /// The table could not be read.
     PollFailed,
     /// A peer told the floor for this node's address and its own version.
@@ -170,6 +172,10 @@
                 self.learn_floor(version);
                 self.fetching.want_from_platform(version, manifest);
             }
+            Event::Accepted(update) => {
+                self.learn_floor(update.version);
+                self.on_update(now, Source::Platform, update, actions);
+            }
             Event::PollFailed => self.back_off_poll(now),
             Event::FloorLearned(version) => self.learn_floor(version),
             Event::PeerVersion { from, version } => self.on_peer_version(now, from, version),
@@ -217,10 +223,7 @@
     /// Returns what the version in force changes against `known`, or all of it.
     pub fn update_since(&self, known: Version) -> VersionUpdate {
         let empty = Manifest::default();
-        let base = self
-            .manifests
-            .iter()
-            .find(|m| m.version == known && known.0 > 0);
+        let base = self.manifests.iter().find(|m| m.version == known && known.0 > 0);
         self.current.update_from(base.unwrap_or(&empty))
     }
 
@@ -249,10 +252,7 @@
         update: Arc<VersionUpdate>,
         actions: &mut Vec<Action>,
     ) {
-        let newest = self
-            .installing
-            .as_ref()
-            .map_or(self.version(), |(b, ..)| b.version());
+        let newest = self.installing.as_ref().map_or(self.version(), |(b, ..)| b.version());
         if update.version <= newest.max(self.refused) {
             return;
         }
@@ -305,7 +305,6 @@
         &mut self,
         version: Version,
     ) -> Option<(Arc<Bundle>, Arc<VersionUpdate>, Source)> {
-        self.installing
-            .take_if(|(bundle, ..)| bundle.version() == version)
+        self.installing.take_if(|(bundle, ..)| bundle.version() == version)
     }
 }
--- a/goldcresttally-distribution/src/machine/poll.rs
+++ b/goldcresttally-distribution/src/machine/poll.rs
@@ -47,8 +47,6 @@
         let groups = (f64::from(self.options.fleet_size) / seen).max(1.0);
         let pollers = (self.options.pollers as f64).min(seen);
         let shared = groups * pollers / f64::from(self.options.reads_per_second.max(1));
-        self.options
-            .poll_interval
-            .max(Duration::from_secs_f64(shared))
+        self.options.poll_interval.max(Duration::from_secs_f64(shared))
     }
 }
--- a/goldcresttally-distribution/src/machine/push.rs
+++ b/goldcresttally-distribution/src/machine/push.rs
@@ -69,10 +69,7 @@
         if position < self.topology.position() && position > 0 {
             return;
         }
-        let mut targets = self
-            .topology
-            .children(position, self.options.fanout)
-            .to_vec();
+        let mut targets = self.topology.children(position, self.options.fanout).to_vec();
         targets.retain(|id| *id != self.own.id);
         push_to(&targets, update, actions);
     }
@@ -94,9 +91,6 @@
 }
 
 fn push_to(targets: &[NodeId], update: &Arc<VersionUpdate>, actions: &mut Vec<Action>) {
-    let push = |to: &NodeId| Action::Push {
-        to: *to,
-        update: Arc::clone(update),
-    };
+    let push = |to: &NodeId| Action::Push { to: *to, update: Arc::clone(update) };
     actions.extend(targets.iter().map(push));
 }
--- a/goldcresttally-distribution/src/topology.rs
+++ b/goldcresttally-distribution/src/topology.rs
@@ -28,44 +28,28 @@
         let mut domains: Map<DomainId, Vec<NodeId>> = Map::default();
         let mut domain_of = Map::default();
         for peer in others.iter().chain([own]) {
-            domains
-                .entry(peer.domain.clone())
-                .or_default()
-                .push(peer.id);
+            domains.entry(peer.domain.clone()).or_default().push(peer.id);
             domain_of.insert(peer.id, peer.domain.clone());
         }
         for (domain, members) in &mut domains {
             members.sort_by_cached_key(|id| {
-                (
-                    std::cmp::Reverse(rendezvous::weight(id, domain.as_str())),
-                    *id,
-                )
+                (std::cmp::Reverse(rendezvous::weight(id, domain.as_str())), *id)
             });
             members.dedup();
         }
-        Self {
-            own: Some(own.clone()),
-            domains,
-            domain_of,
-        }
+        Self { own: Some(own.clone()), domains, domain_of }
     }
 
     /// Returns the members of this node's domain, this node included, in order.
     pub fn own_domain(&self) -> &[NodeId] {
-        let own = self
-            .own
-            .as_ref()
-            .and_then(|own| self.domains.get(&own.domain));
+        let own = self.own.as_ref().and_then(|own| self.domains.get(&own.domain));
         own.map_or(&[], Vec::as_slice)
     }
 
     /// Returns this node's position in its domain.
     pub fn position(&self) -> usize {
         let own = self.own.as_ref().map(|own| own.id);
-        self.own_domain()
-            .iter()
-            .position(|id| Some(*id) == own)
-            .unwrap_or(0)
+        self.own_domain().iter().position(|id| Some(*id) == own).unwrap_or(0)
     }
 
     /// Returns the members to which the member at `position` passes versions on.
@@ -85,13 +69,9 @@
     /// Returns the first `links` members of every other domain, ordered.
     pub fn remote_links(&self, links: usize) -> Vec<NodeId> {
         let own = self.own.as_ref().map(|own| &own.domain);
-        let others = self
-            .domains
-            .iter()
-            .filter(|(domain, _)| Some(*domain) != own);
-        let mut first: Vec<_> = others
-            .flat_map(|(_, members)| members.iter().take(links).copied())
-            .collect();
+        let others = self.domains.iter().filter(|(domain, _)| Some(*domain) != own);
+        let mut first: Vec<_> =
+            others.flat_map(|(_, members)| members.iter().take(links).copied()).collect();
         first.sort_unstable();
         first
     }
@@ -105,12 +85,8 @@
     /// Returns all other members, ordered.
     pub fn others(&self) -> Vec<NodeId> {
         let own = self.own.as_ref().map(|own| own.id);
-        let mut ids: Vec<_> = self
-            .domain_of
-            .keys()
-            .copied()
-            .filter(|id| Some(*id) != own)
-            .collect();
+        let mut ids: Vec<_> =
+            self.domain_of.keys().copied().filter(|id| Some(*id) != own).collect();
         ids.sort_unstable();
         ids
     }
--- a/goldcresttally-distribution/src/update.rs
+++ b/goldcresttally-distribution/src/update.rs
@@ -17,10 +17,7 @@
 impl ChangedSection {
     /// Returns the section's manifest entry.
     pub fn entry(&self) -> SectionEntry {
-        SectionEntry {
-            name: self.name.clone(),
-            digest: Digest::of(self.body.as_bytes()),
-        }
+        SectionEntry { name: self.name.clone(), digest: Digest::of(self.body.as_bytes()) }
     }
 }
 
--- a/goldcresttally-ledger/src/batch.rs
+++ b/goldcresttally-ledger/src/batch.rs
@@ -106,8 +106,6 @@
         let (lost, again): (Vec<_>, Vec<_>) =
             batch.into_iter().partition(|w| keys.contains(&w.key));
         self.waiting.splice(0..0, again);
-        lost.into_iter()
-            .map(|w| (w, WriteOutcome::Conflict(Vec::new())))
-            .collect()
+        lost.into_iter().map(|w| (w, WriteOutcome::Conflict(Vec::new()))).collect()
     }
 }
--- a/goldcresttally-ledger/src/claim.rs
+++ b/goldcresttally-ledger/src/claim.rs
@@ -61,18 +61,10 @@
         let state = match &self.state {
             ClaimState::Running => "running".to_owned(),
             ClaimState::Free => "free".to_owned(),
-            ClaimState::Answered {
-                status,
-                content_type,
-                body: None,
-            } => {
+            ClaimState::Answered { status, content_type, body: None } => {
                 format!("answered\n{status}\n{content_type}")
             }
-            ClaimState::Answered {
-                status,
-                content_type,
-                body: Some(body),
-            } => {
+            ClaimState::Answered { status, content_type, body: Some(body) } => {
                 format!("answered\n{status}\n{content_type}\n{body}")
             }
         };
--- a/goldcresttally-ledger/src/ledger.rs
+++ b/goldcresttally-ledger/src/ledger.rs
@@ -141,13 +141,7 @@
         }
         let retention = retention.unwrap_or(self.options.retention);
         let retain = Deadline(now.max(deadline.0) + retention);
-        self.entries.insert(
-            id,
-            Entry {
-                state: State::Waiting,
-                retain,
-            },
-        );
+        self.entries.insert(id, Entry { state: State::Waiting, retain });
         Ok(())
     }
 
@@ -206,22 +200,14 @@
             return Settlement::Unknown;
         }
         let retain = Deadline(now.max(deadline.0) + self.options.retention);
-        self.entries.insert(
-            id,
-            Entry {
-                state: State::NotRun,
-                retain,
-            },
-        );
+        self.entries.insert(id, Entry { state: State::NotRun, retain });
         self.expiry.insert((retain, id));
         Settlement::NotRun
     }
 
     /// Tells whether an attempt has been fenced.
     pub fn is_fenced(&self, id: AttemptId) -> bool {
-        self.entries
-            .get(&id)
-            .is_none_or(|e| matches!(e.state, State::NotRun))
+        self.entries.get(&id).is_none_or(|e| matches!(e.state, State::NotRun))
     }
 
     /// Returns the number of attempts remembered.
@@ -286,11 +272,7 @@
                 return;
             };
             self.answer_bytes -= size;
-            if let Some(Entry {
-                state: State::Done(answer),
-                ..
-            }) = self.entries.get_mut(&id)
-            {
+            if let Some(Entry { state: State::Done(answer), .. }) = self.entries.get_mut(&id) {
                 *answer = None;
             }
         }
--- a/goldcresttally-membership/src/machine/gossip.rs
+++ b/goldcresttally-membership/src/machine/gossip.rs
@@ -29,11 +29,7 @@
     /// Queues `record` in place of any older claim about the same node.
     pub fn push(&mut self, record: Record) {
         self.serial += 1;
-        let broadcast = Broadcast {
-            sent: 0,
-            serial: self.serial,
-            record,
-        };
+        let broadcast = Broadcast { sent: 0, serial: self.serial, record };
         self.queue.insert(broadcast.record.id, broadcast);
     }
 
@@ -45,11 +41,7 @@
     /// Takes up to `count` claims, nodes that drain first, then those sent least often.
     pub fn take(&mut self, count: usize, limit: u32) -> Vec<Record> {
         let order = |b: &Broadcast| (!b.record.is_draining(), b.sent, u64::MAX - b.serial);
-        let mut waiting: Vec<_> = self
-            .queue
-            .values()
-            .map(|b| (order(b), b.record.id))
-            .collect();
+        let mut waiting: Vec<_> = self.queue.values().map(|b| (order(b), b.record.id)).collect();
         if waiting.len() > count {
             waiting.select_nth_unstable(count);
             waiting.truncate(count);
@@ -80,8 +72,7 @@
     pub(super) fn take_updates(&mut self) -> Vec<Record> {
         let members = (self.members.len() + 1) as f64;
         let limit = (RETRANSMIT_FACTOR * (members + 1.0).log10().ceil()) as u32;
-        self.broadcasts
-            .take(self.options.updates_per_datagram, limit)
+        self.broadcasts.take(self.options.updates_per_datagram, limit)
     }
 
     /// Sends a round of gossip when one is due and anything waits.
--- a/goldcresttally-membership/src/machine/merge.rs
+++ b/goldcresttally-membership/src/machine/merge.rs
@@ -75,40 +75,21 @@
             return;
         }
         let over = |m: &&Member| m.suspicion.is_some_and(|d| d.is_past(now));
-        let dead: Vec<Record> = self
-            .members
-            .values()
-            .filter(over)
-            .map(|m| m.record.clone())
-            .collect();
-        let dead = dead
-            .into_iter()
-            .map(|r| Record {
-                status: Status::Dead,
-                ..r
-            })
-            .collect();
+        let dead: Vec<Record> =
+            self.members.values().filter(over).map(|m| m.record.clone()).collect();
+        let dead = dead.into_iter().map(|r| Record { status: Status::Dead, ..r }).collect();
         self.merge_all(now, dead, actions);
     }
 
     pub(super) fn drop_tombstones(&mut self, now: MonoTime) {
-        self.members
-            .retain(|_, m| !m.tombstone.is_some_and(|d| d.is_past(now)));
+        self.members.retain(|_, m| !m.tombstone.is_some_and(|d| d.is_past(now)));
     }
 
     /// Suspects this node itself when at least half of the members are suspect at once:
     /// it then keeps the endpoints it knows instead of emptying its table.
     fn update_isolation(&mut self, actions: &mut Vec<Action>) {
-        let members = self
-            .members
-            .values()
-            .filter(|m| m.record.status.is_member())
-            .count();
-        let suspects = self
-            .members
-            .values()
-            .filter(|m| m.record.status == Status::Suspect)
-            .count();
+        let members = self.members.values().filter(|m| m.record.status.is_member()).count();
+        let suspects = self.members.values().filter(|m| m.record.status == Status::Suspect).count();
         let isolated = members > 1 && 2 * suspects >= members;
         if isolated != self.isolated {
             self.isolated = isolated;
--- a/goldcresttally-membership/src/machine/mod.rs
+++ b/goldcresttally-membership/src/machine/mod.rs
@@ -203,9 +203,7 @@
     }
 
     fn on_tick(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
-        let gap = self
-            .last_tick
-            .map_or(Duration::ZERO, |last| now.since(last));
+        let gap = self.last_tick.map_or(Duration::ZERO, |last| now.since(last));
         self.last_tick = Some(now);
         if gap > self.options.pause_limit {
             self.on_resume(now, gap, actions);
@@ -229,11 +227,7 @@
     }
 
     fn on_message(&mut self, now: MonoTime, message: Message, actions: &mut Vec<Action>) {
-        let Message {
-            header,
-            body,
-            updates,
-        } = message;
+        let Message { header, body, updates } = message;
         if header.from == self.own.id {
             return;
         }
@@ -262,10 +256,7 @@
         actions: &mut Vec<Action>,
     ) -> Option<Record> {
         if header.version > self.version {
-            actions.push(Action::VersionSeen {
-                from: header.from,
-                version: header.version,
-            });
+            actions.push(Action::VersionSeen { from: header.from, version: header.version });
         }
         let member = self.members.get_mut(&header.from)?;
         if member.record.generation != header.generation {
@@ -307,10 +298,7 @@
         if !self.next_sync.is_past(now) {
             return;
         }
-        let wait = self
-            .options
-            .sync_interval
-            .mul_f64(0.75 + 0.5 * self.rng.f64());
+        let wait = self.options.sync_interval.mul_f64(0.75 + 0.5 * self.rng.f64());
         self.next_sync = Deadline::after(now, wait);
         if let Some(with) = self.random_members(1).pop() {
             actions.push(Action::Sync { with });
@@ -318,11 +306,7 @@
     }
 
     fn send(&self, to: NodeId, body: Body, updates: Vec<Record>, actions: &mut Vec<Action>) {
-        let message = Message {
-            header: self.header(),
-            body,
-            updates,
-        };
+        let message = Message { header: self.header(), body, updates };
         actions.push(Action::Send { to, message });
     }
 
@@ -338,8 +322,6 @@
 
     fn suspicion_timeout(&self) -> Duration {
         let members = (self.members.len() + 1) as f64;
-        self.options
-            .suspicion_base
-            .mul_f64(members.log10().max(1.0))
+        self.options.suspicion_base.mul_f64(members.log10().max(1.0))
     }
 }
--- a/goldcresttally-membership/src/machine/probe.rs
+++ b/goldcresttally-membership/src/machine/probe.rs
@@ -41,13 +41,7 @@
 impl Probe {
     pub fn new(now: MonoTime) -> Self {
         let next = Deadline(now);
-        Self {
-            order: Vec::new(),
-            pending: None,
-            next,
-            sequence: now.0,
-            relays: Map::default(),
-        }
+        Self { order: Vec::new(), pending: None, next, sequence: now.0, relays: Map::default() }
     }
 
     fn next_sequence(&mut self) -> u64 {
@@ -76,11 +70,7 @@
     fn start_probe(&mut self, now: MonoTime, target: NodeId, actions: &mut Vec<Action>) {
         let sequence = self.probe.next_sequence();
         let indirect = Some(Deadline::after(now, self.options.probe_timeout));
-        self.probe.pending = Some(Pending {
-            target,
-            sequence,
-            indirect,
-        });
+        self.probe.pending = Some(Pending { target, sequence, indirect });
         self.ping(target, sequence, actions);
     }
 
@@ -104,12 +94,7 @@
         let (target, sequence) = (pending.target, pending.sequence);
         for to in self.random_members(self.options.indirect_probes + 1) {
             if to != target {
-                self.send(
-                    to,
-                    Body::PingRequest { sequence, target },
-                    Vec::new(),
-                    actions,
-                );
+                self.send(to, Body::PingRequest { sequence, target }, Vec::new(), actions);
             }
         }
     }
@@ -132,32 +117,18 @@
         }
         let own_sequence = self.probe.next_sequence();
         let deadline = Deadline::after(now, Duration::from_millis(RELAY_TIMEOUT_MS));
-        self.probe.relays.insert(
-            own_sequence,
-            Relay {
-                requester,
-                sequence,
-                deadline,
-            },
-        );
+        self.probe.relays.insert(own_sequence, Relay { requester, sequence, deadline });
         self.ping(target, own_sequence, actions);
     }
 
     pub(super) fn on_ack(&mut self, now: MonoTime, sequence: u64, actions: &mut Vec<Action>) {
-        if self
-            .probe
-            .pending
-            .as_ref()
-            .is_some_and(|p| p.sequence == sequence)
-        {
+        if self.probe.pending.as_ref().is_some_and(|p| p.sequence == sequence) {
             self.probe.pending = None;
         }
         if let Some(relay) = self.probe.relays.remove(&sequence)
             && !relay.deadline.is_past(now)
         {
-            let body = Body::Ack {
-                sequence: relay.sequence,
-            };
+            let body = Body::Ack { sequence: relay.sequence };
             self.send(relay.requester, body, Vec::new(), actions);
         }
     }
@@ -167,10 +138,7 @@
             return;
         };
         if member.record.status == Status::Alive {
-            let claim = Record {
-                status: Status::Suspect,
-                ..member.record.clone()
-            };
+            let claim = Record { status: Status::Suspect, ..member.record.clone() };
             self.merge_all(now, vec![claim], actions);
         }
     }
@@ -184,11 +152,7 @@
                 self.rng.shuffle(&mut self.probe.order);
             }
             let target = self.probe.order.pop()?;
-            if self
-                .members
-                .get(&target)
-                .is_some_and(|m| m.record.status.is_member())
-            {
+            if self.members.get(&target).is_some_and(|m| m.record.status.is_member()) {
                 return Some(target);
             }
         }
@@ -204,12 +168,8 @@
         let behind = |m: &&super::Member| {
             m.record.status.is_member() && m.version < version && m.refused < version
         };
-        let mut lagging: Vec<NodeId> = self
-            .members
-            .values()
-            .filter(behind)
-            .map(|m| m.record.id)
-            .collect();
+        let mut lagging: Vec<NodeId> =
+            self.members.values().filter(behind).map(|m| m.record.id).collect();
         lagging.sort_unstable();
         self.rng.shuffle(&mut lagging);
         for target in lagging.into_iter().take(limit) {
@@ -221,12 +181,8 @@
     /// Pings one dead member, so that domains find each other again after a partition.
     fn probe_lost(&mut self, actions: &mut Vec<Action>) {
         let dead = |m: &&super::Member| m.record.status == Status::Dead;
-        let mut lost: Vec<NodeId> = self
-            .members
-            .values()
-            .filter(dead)
-            .map(|m| m.record.id)
-            .collect();
+        let mut lost: Vec<NodeId> =
+            self.members.values().filter(dead).map(|m| m.record.id).collect();
         lost.sort_unstable();
         if let Some(target) = self.rng.choice(lost) {
             let sequence = self.probe.next_sequence();
--- a/goldcresttally-membership/src/machine/view.rs
+++ b/goldcresttally-membership/src/machine/view.rs
@@ -84,11 +84,7 @@
     pub fn bucket_hashes(&self) -> [u64; BUCKETS] {
         let mut hashes = [0; BUCKETS];
         for record in self.records().chain([&self.own]) {
-            let claim = (
-                record.precedence().0,
-                record.precedence().1,
-                record.status as u8,
-            );
+            let claim = (record.precedence().0, record.precedence().1, record.status as u8);
             hashes[bucket(record.id)] ^= rendezvous::weight(record.id, claim);
         }
         hashes
@@ -101,12 +97,8 @@
             let at = bucket(r.id);
             theirs.get(at) != Some(&ours[at])
         };
-        let mut records: Vec<_> = self
-            .records()
-            .chain([&self.own])
-            .filter(differs)
-            .cloned()
-            .collect();
+        let mut records: Vec<_> =
+            self.records().chain([&self.own]).filter(differs).cloned().collect();
         records.sort_unstable_by_key(|r| r.id);
         records
     }
--- a/goldcresttally-membership/src/pacer.rs
+++ b/goldcresttally-membership/src/pacer.rs
@@ -21,11 +21,7 @@
 impl Pacer {
     /// Returns a pacer whose first attempt is due at `now`.
     pub fn new(seed: u64, now: MonoTime) -> Self {
-        Self {
-            rng: fastrand::Rng::with_seed(seed),
-            failures: 0,
-            due: Deadline(now),
-        }
+        Self { rng: fastrand::Rng::with_seed(seed), failures: 0, due: Deadline(now) }
     }
 
     /// Tells whether an attempt is due.
--- a/goldcresttally-membership/src/record.rs
+++ b/goldcresttally-membership/src/record.rs
@@ -121,10 +121,6 @@
 
     /// Tells whether the node should get no new calls.
     pub fn is_draining(&self) -> bool {
-        self.leaving
-            || self
-                .upstreams
-                .iter()
-                .any(|u| u.state == UpstreamState::Draining)
+        self.leaving || self.upstreams.iter().any(|u| u.state == UpstreamState::Draining)
     }
 }
--- a/goldcresttally-membership/src/registry.rs
+++ b/goldcresttally-membership/src/registry.rs
@@ -44,13 +44,7 @@
         let key = (announcement.service.clone(), announcement.address);
         let deadline = Deadline::after(now, Duration::from_millis(LEASE_MS));
         let Some(lease) = self.leases.get_mut(&key) else {
-            self.leases.insert(
-                key,
-                Lease {
-                    announcement,
-                    deadline,
-                },
-            );
+            self.leases.insert(key, Lease { announcement, deadline });
             return true;
         };
         lease.deadline = deadline;
@@ -90,11 +84,8 @@
 
     /// Returns the upstreams as other nodes need to know them.
     pub fn summary(&self, now: MonoTime) -> Vec<Upstream> {
-        let upstream = |a: Announcement| Upstream {
-            service: a.service,
-            slots: a.slots,
-            state: a.state,
-        };
+        let upstream =
+            |a: Announcement| Upstream { service: a.service, slots: a.slots, state: a.state };
         self.current(now).into_iter().map(upstream).collect()
     }
 }
--- a/goldcresttally-platform/src/document/accept.rs
+++ b/goldcresttally-platform/src/document/accept.rs
@@ -1,7 +1,9 @@
 //! Accepts all drafts as the next version, exactly once even when the answer is lost.
 
+use std::sync::Arc;
+
 use goldcresttally_config::{Digest, Manifest, Snapshot};
-use goldcresttally_core::{OperationId, TeamName, Version};
+use goldcresttally_core::{OperationId, SectionName, TeamName, Version};
 use serde::{Deserialize, Serialize};
 
 use super::drafts::{DraftInfo, draft_key, entries_of};
@@ -15,6 +17,9 @@
 /// Attempts to get a definite answer to one accept.
 const SETTLE_ATTEMPTS: usize = 4;
 
+/// The sections of an accepted version, ordered by name.
+pub type Content = Vec<(SectionName, Arc<str>)>;
+
 /// The outcome of an accept.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Accepted {
@@ -27,33 +32,29 @@
 impl Document {
     /// Validates the drafts as one document and makes them the next version.
     ///
-    /// Repeating the call with the same `operation` never makes a second version.
+    /// Repeating the call with the same `operation` never makes a second version. Returns the
+    /// content too, unless an earlier call made the version: the accepting node then need not read
+    /// it back from a platform that may just have failed.
     pub async fn accept(
         &self,
         operation: OperationId,
         team: &TeamName,
         now_ms: u64,
-    ) -> Result<Accepted> {
+    ) -> Result<(Accepted, Option<Content>)> {
         let (head, revision) = self.head_row().await?;
         if let Some(done) = self.find_accepted(&head, operation).await? {
-            return Ok(done);
+            return Ok((done, None));
         }
         let drafts = self.drafts().await?;
         let bodies = self.bodies(&entries_of(&drafts)).await?;
         let version = head.version.next();
         Snapshot::build(version, &bodies)?;
-        let manifest = self
-            .write_manifest(&Manifest::new(version, entries_of(&drafts)))
-            .await?;
-        let entry = HistoryEntry {
-            version,
-            manifest,
-            accepted_by: team.clone(),
-            accepted_at_ms: now_ms,
-        };
+        let manifest = self.write_manifest(&Manifest::new(version, entries_of(&drafts))).await?;
+        let entry =
+            HistoryEntry { version, manifest, accepted_by: team.clone(), accepted_at_ms: now_ms };
         let writes = accept_writes(head, revision, operation, &entry, &drafts)?;
         self.commit(&Transaction { operation, writes }).await?;
-        Ok(Accepted { version, manifest })
+        Ok((Accepted { version, manifest }, Some(bodies)))
     }
 
     /// Sends the same conditional transaction until its outcome is known.
@@ -65,11 +66,7 @@
                 Err(Error::Conflict { keys }) => {
                     // An earlier try of this transaction may be what moved the head.
                     let (head, _) = self.head_row().await?;
-                    return match head
-                        .operations
-                        .iter()
-                        .any(|(o, _)| *o == transaction.operation)
-                    {
+                    return match head.operations.iter().any(|(o, _)| *o == transaction.operation) {
                         true => Ok(()),
                         false => Err(Error::Conflict { keys }),
                     };
@@ -79,9 +76,7 @@
             }
         }
         let cause = last.map_or_else(String::new, |e| e.to_string());
-        Err(Error::AnswerLost {
-            cause: format!("accept not settled, repeat it: {cause}"),
-        })
+        Err(Error::AnswerLost { cause: format!("accept not settled, repeat it: {cause}") })
     }
 
     async fn find_accepted(&self, head: &Head, operation: OperationId) -> Result<Option<Accepted>> {
@@ -92,10 +87,7 @@
         let row = self.table.read(&key).await?;
         let row = row.ok_or_else(|| crate::errors::missing(&key))?;
         let entry: HistoryEntry = rows::decode(&key, &row.value)?;
-        Ok(Some(Accepted {
-            version: entry.version,
-            manifest: entry.manifest,
-        }))
+        Ok(Some(Accepted { version: entry.version, manifest: entry.manifest }))
     }
 }
 
@@ -109,28 +101,16 @@
     let mut operations = head.operations;
     operations.insert(0, (operation, entry.version));
     operations.truncate(HEAD_OPERATION_LIMIT);
-    let head = Head {
-        version: entry.version,
-        manifest: Some(entry.manifest),
-        operations,
-    };
+    let head = Head { version: entry.version, manifest: Some(entry.manifest), operations };
     let expected = match revision {
         0 => Expected::Absent,
         revision => Expected::Revision(revision),
     };
     let mut writes = vec![
         Write::put(rows::HEAD_KEY, expected, rows::encode(&head)?),
-        Write::put(
-            rows::history_key(entry.version),
-            Expected::Absent,
-            rows::encode(entry)?,
-        ),
+        Write::put(rows::history_key(entry.version), Expected::Absent, rows::encode(entry)?),
     ];
     // What was validated must be what is accepted.
-    writes.extend(
-        drafts
-            .iter()
-            .map(|d| Write::check(draft_key(&d.name), d.revision)),
-    );
+    writes.extend(drafts.iter().map(|d| Write::check(draft_key(&d.name), d.revision)));
     Ok(writes)
 }
--- a/goldcresttally-platform/src/document/drafts.rs
+++ b/goldcresttally-platform/src/document/drafts.rs
@@ -52,20 +52,10 @@
         parse_section(name, text)?;
         self.check_owner(team, name, expected).await?;
         let digest = self.write_section_body(text).await?;
-        let draft = rows::Draft {
-            owner: team.clone(),
-            digest,
-        };
+        let draft = rows::Draft { owner: team.clone(), digest };
         let change = Change::Put(rows::encode(&draft)?);
-        let revision = self
-            .write_draft(operation, name, expected, change, Some(digest))
-            .await?;
-        Ok(DraftInfo {
-            name: name.clone(),
-            owner: team.clone(),
-            revision,
-            digest,
-        })
+        let revision = self.write_draft(operation, name, expected, change, Some(digest)).await?;
+        Ok(DraftInfo { name: name.clone(), owner: team.clone(), revision, digest })
     }
 
     /// Removes a draft if its revision is still `expected`; accepted versions keep the section
@@ -78,8 +68,7 @@
         expected: u64,
     ) -> Result<()> {
         self.check_owner(team, name, expected).await?;
-        self.write_draft(operation, name, expected, Change::Delete, None)
-            .await?;
+        self.write_draft(operation, name, expected, Change::Delete, None).await?;
         Ok(())
     }
 
@@ -100,19 +89,12 @@
         let found = self.find_draft(name).await?;
         if let Some(info) = found.as_ref().filter(|info| info.owner != *team) {
             let owner = info.owner.to_string();
-            return Err(Error::NotOwner {
-                section: name.to_string(),
-                owner,
-            });
+            return Err(Error::NotOwner { section: name.to_string(), owner });
         }
         let current = found.map_or(0, |info| info.revision);
         match current == expected {
             true => Ok(()),
-            false => Err(Error::Stale {
-                section: name.to_string(),
-                expected,
-                current,
-            }),
+            false => Err(Error::Stale { section: name.to_string(), expected, current }),
         }
     }
 
@@ -128,15 +110,8 @@
             0 => Expected::Absent,
             revision => Expected::Revision(revision),
         };
-        let write = Write {
-            key: draft_key(name),
-            expected: state,
-            change,
-        };
-        let transaction = Transaction {
-            operation,
-            writes: vec![write],
-        };
+        let write = Write { key: draft_key(name), expected: state, change };
+        let transaction = Transaction { operation, writes: vec![write] };
         match self.table.transact(&transaction).await {
             Ok(revision) => Ok(revision),
             Err(Error::Conflict { .. } | Error::AnswerLost { .. }) => {
@@ -159,14 +134,8 @@
             return Ok(current);
         }
         match current == expected {
-            true => Err(Error::AnswerLost {
-                cause: "the write has not been seen yet".to_owned(),
-            }),
-            false => Err(Error::Stale {
-                section: name.to_string(),
-                expected,
-                current,
-            }),
+            true => Err(Error::AnswerLost { cause: "the write has not been seen yet".to_owned() }),
+            false => Err(Error::Stale { section: name.to_string(), expected, current }),
         }
     }
 }
@@ -176,25 +145,12 @@
 }
 
 pub(super) fn entries_of(drafts: &[DraftInfo]) -> Vec<SectionEntry> {
-    drafts
-        .iter()
-        .map(|d| SectionEntry {
-            name: d.name.clone(),
-            digest: d.digest,
-        })
-        .collect()
+    drafts.iter().map(|d| SectionEntry { name: d.name.clone(), digest: d.digest }).collect()
 }
 
 fn draft_info(row: &Row) -> Result<DraftInfo> {
     let draft: rows::Draft = rows::decode(&row.key, &row.value)?;
     let name = row.key.trim_start_matches(rows::DRAFT_PREFIX);
-    let name = name
-        .parse()
-        .map_err(|e| crate::errors::corrupt(&row.key, &e))?;
-    Ok(DraftInfo {
-        name,
-        owner: draft.owner,
-        revision: row.revision,
-        digest: draft.digest,
-    })
+    let name = name.parse().map_err(|e| crate::errors::corrupt(&row.key, &e))?;
+    Ok(DraftInfo { name, owner: draft.owner, revision: row.revision, digest: draft.digest })
 }
--- a/goldcresttally-platform/src/document/mod.rs
+++ b/goldcresttally-platform/src/document/mod.rs
@@ -17,7 +17,7 @@
 use crate::errors::{Result, corrupt, missing};
 use crate::object::ObjectStore;
 use crate::table::TableStore;
-pub use accept::Accepted;
+pub use accept::{Accepted, Content};
 pub use drafts::DraftInfo;
 pub use rows::{Head, HistoryEntry};
 
@@ -72,9 +72,7 @@
     pub async fn history(&self, limit: usize) -> Result<Vec<HistoryEntry>> {
         let rows = self.table.scan(rows::HISTORY_PREFIX).await?;
         let newest = rows.iter().rev().take(limit);
-        newest
-            .map(|row| rows::decode(&row.key, &row.value))
-            .collect()
+        newest.map(|row| rows::decode(&row.key, &row.value)).collect()
     }
 
     /// Reads the body that the section `name` had in an accepted version.
@@ -92,18 +90,14 @@
     async fn write_section_body(&self, text: &str) -> Result<Digest> {
         let digest = Digest::of(text.as_bytes());
         let body = Bytes::copy_from_slice(text.as_bytes());
-        self.objects
-            .put(&rows::section_object_key(digest), body)
-            .await?;
+        self.objects.put(&rows::section_object_key(digest), body).await?;
         Ok(digest)
     }
 
     async fn write_manifest(&self, manifest: &Manifest) -> Result<Digest> {
         let digest = manifest.digest();
         let body = serde_json::to_vec(manifest).map_err(|e| corrupt("manifest", &e))?;
-        self.objects
-            .put(&rows::manifest_key(digest), body.into())
-            .await?;
+        self.objects.put(&rows::manifest_key(digest), body.into()).await?;
         Ok(digest)
     }
 
--- a/goldcresttally-platform/src/errors.rs
+++ b/goldcresttally-platform/src/errors.rs
@@ -94,10 +94,7 @@
 
 /// Returns the error for unreadable data at `key`.
 pub fn corrupt(key: &str, cause: &impl ToString) -> Error {
-    Error::Corrupt {
-        key: key.to_owned(),
-        cause: cause.to_string(),
-    }
+    Error::Corrupt { key: key.to_owned(), cause: cause.to_string() }
 }
 
 /// Returns the error for a thing that is not there.
--- a/goldcresttally-platform/src/http_driver.rs
+++ b/goldcresttally-platform/src/http_driver.rs
@@ -62,48 +62,31 @@
             .uri(format!("http://{}{path}", self.address))
             .header("content-type", "application/json")
             .body(Full::new(body))
-            .map_err(|e| Error::Refused {
-                cause: e.to_string(),
-            })?;
+            .map_err(|e| Error::Refused { cause: e.to_string() })?;
         let limit = Duration::from_millis(REQUEST_TIMEOUT_MS);
         match tokio::time::timeout(limit, self.exchange(req)).await {
             Ok(result) => result,
-            Err(elapsed) => Err(Error::AnswerLost {
-                cause: elapsed.to_string(),
-            }),
+            Err(elapsed) => Err(Error::AnswerLost { cause: elapsed.to_string() }),
         }
     }
 
     async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes)> {
-        let res = self
-            .client
-            .request(req)
-            .await
-            .map_err(|e| match e.is_connect() {
-                true => Error::Unavailable {
-                    cause: e.to_string(),
-                },
-                false => Error::AnswerLost {
-                    cause: e.to_string(),
-                },
-            })?;
+        let res = self.client.request(req).await.map_err(|e| match e.is_connect() {
+            true => Error::Unavailable { cause: e.to_string() },
+            false => Error::AnswerLost { cause: e.to_string() },
+        })?;
         let status = res.status();
         let body = Limited::new(res.into_body(), ANSWER_LIMIT_BYTES)
             .collect()
             .await
-            .map_err(|e| Error::AnswerLost {
-                cause: e.to_string(),
-            })?;
+            .map_err(|e| Error::AnswerLost { cause: e.to_string() })?;
         Ok((status, body.to_bytes()))
     }
 }
 
 /// Maps a status that carries no data to an error.
 fn failure(status: StatusCode, body: &Bytes) -> Error {
-    let cause = format!(
-        "{status}: {}",
-        String::from_utf8_lossy(&body[..body.len().min(200)])
-    );
+    let cause = format!("{status}: {}", String::from_utf8_lossy(&body[..body.len().min(200)]));
     match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
             Error::Unavailable { cause }
@@ -154,10 +137,7 @@
     fn transact<'a>(&'a self, transaction: &'a Transaction) -> BoxFuture<'a, Result<u64>> {
         Box::pin(async move {
             let body = serde_json::to_vec(transaction).map_err(|e| corrupt("transaction", &e))?;
-            match self
-                .send(Method::POST, "/table/transactions", body.into())
-                .await?
-            {
+            match self.send(Method::POST, "/table/transactions", body.into()).await? {
                 (StatusCode::OK, body) => {
                     decode::<Committed>("transaction", &body).map(|c| c.revision)
                 }
--- a/goldcresttally-platform/src/lib.rs
+++ b/goldcresttally-platform/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod object;
 pub mod table;
 
-pub use document::{Accepted, Document, DraftInfo, Head, HistoryEntry};
+pub use document::{Accepted, Content, Document, DraftInfo, Head, HistoryEntry};
 pub use errors::{Error, Result};
 pub use http_driver::HttpPlatform;
 pub use object::ObjectStore;
--- a/goldcresttally-platform/src/table.rs
+++ b/goldcresttally-platform/src/table.rs
@@ -57,21 +57,13 @@
 impl Write {
     /// Returns a write of `value` to `key`, if it is in the `expected` state.
     pub fn put(key: impl Into<String>, expected: Expected, value: String) -> Self {
-        Self {
-            key: key.into(),
-            expected,
-            change: Change::Put(value),
-        }
+        Self { key: key.into(), expected, change: Change::Put(value) }
     }
 
     /// Returns a check that `key` is at `revision`.
     pub fn check(key: impl Into<String>, revision: u64) -> Self {
         let expected = Expected::Revision(revision);
-        Self {
-            key: key.into(),
-            expected,
-            change: Change::Keep,
-        }
+        Self { key: key.into(), expected, change: Change::Keep }
     }
 }
 
--- a/goldcresttally-proxy/src/body.rs
+++ b/goldcresttally-proxy/src/body.rs
@@ -20,9 +20,7 @@
 
 /// Returns a body that is at hand as a whole.
 pub fn full(bytes: impl Into<Bytes>) -> CallBody {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed_unsync()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// Boxes a body.
@@ -77,10 +75,7 @@
     /// Reads the start of `body`, or all of a small one.
     pub async fn read(body: B) -> Result<Self, B::Error> {
         let (start, rest) = read_up_to_limit(body).await?;
-        Ok(Self {
-            start,
-            rest: rest.map(|rest| Arc::new(Mutex::new(Some(rest)))),
-        })
+        Ok(Self { start, rest: rest.map(|rest| Arc::new(Mutex::new(Some(rest)))) })
     }
 
     /// Returns the start of the body; it is all of it when [`Self::is_whole`] holds.
--- a/goldcresttally-proxy/src/clock.rs
+++ b/goldcresttally-proxy/src/clock.rs
@@ -13,9 +13,7 @@
 impl Clock {
     /// Returns a clock whose origin is now.
     pub fn start() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
+        Self { origin: Instant::now() }
     }
 
     /// Returns the time since the origin.
@@ -31,7 +29,5 @@
 
 /// Returns wall-clock time in milliseconds since the Unix epoch.
 pub fn wall_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |t| t.as_millis() as u64)
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64)
 }
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -26,9 +26,7 @@
     fn drop(&mut self) {
         if let Some(attempt) = self.attempt.take() {
             let entry = Arc::clone(&self.entry);
-            self.entry
-                .tasks
-                .spawn(async move { entry.cancel(&attempt).await });
+            self.entry.tasks.spawn(async move { entry.cancel(&attempt).await });
         }
     }
 }
@@ -43,10 +41,7 @@
     ) -> Result<Response<CallBody>, CallError> {
         let entry = &self.entry;
         let in_flight = InFlight::start(attempt.endpoint.clone());
-        let mut guard = CancelGuard {
-            entry: Arc::clone(entry),
-            attempt: Some(attempt.clone()),
-        };
+        let mut guard = CancelGuard { entry: Arc::clone(entry), attempt: Some(attempt.clone()) };
         let req = self.request(attempt, body, keyed);
         let result = match attempt.endpoint.node == entry.state.identity.node {
             true => Ok(entry.peer.handle(req).await),
@@ -67,11 +62,7 @@
         req: Request<CallBody>,
     ) -> Result<Response<CallBody>, CallError> {
         let probe = !self.route.idempotent;
-        let sent = self
-            .entry
-            .links
-            .send(attempt.endpoint.peer, req, self.deadline, probe)
-            .await;
+        let sent = self.entry.links.send(attempt.endpoint.peer, req, self.deadline, probe).await;
         match sent {
             Ok(response) => Ok(response.map(boxed)),
             Err(LinkError::NotSent) => Err(CallError::not_run(Reason::Unreachable)),
@@ -79,9 +70,7 @@
                 // The peer ends the attempt at the same deadline; nobody waits for it any more.
                 let entry = Arc::clone(&self.entry);
                 let attempt = attempt.clone();
-                self.entry
-                    .tasks
-                    .spawn(async move { entry.cancel(&attempt).await });
+                self.entry.tasks.spawn(async move { entry.cancel(&attempt).await });
                 Err(CallError::may_have_run(Reason::Deadline))
             }
             Err(LinkError::Lost) => self.settle(attempt).await,
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -66,9 +66,7 @@
         let (mut parts, body) = req.into_parts();
         let serving = entry.state.serving();
         let host = host_of(&parts);
-        let name = host
-            .rsplit_once(':')
-            .map_or(host.as_str(), |(name, _)| name);
+        let name = host.rsplit_once(':').map_or(host.as_str(), |(name, _)| name);
         let path = parts.uri.path();
         let Some(route) = serving.snapshot.route(name, parts.method.as_str(), path) else {
             return Err(CallError::not_run(Reason::NoRoute));
@@ -86,19 +84,7 @@
             (KeyPolicy::Optional | KeyPolicy::Required, key) => key,
         };
         let entry = Arc::clone(entry);
-        Ok((
-            Self {
-                entry,
-                route,
-                serving,
-                parts,
-                host,
-                key,
-                started,
-                deadline,
-            },
-            body,
-        ))
+        Ok((Self { entry, route, serving, parts, host, key, started, deadline }, body))
     }
 
     /// Runs the call to its end.
@@ -133,10 +119,7 @@
         let all = all.ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?;
         let now = self.entry.state.clock.now();
         let random = |n| fastrand::usize(..n);
-        let hinted = tries
-            .hint
-            .take()
-            .and_then(|hint| all.iter().find(|e| e.node == hint));
+        let hinted = tries.hint.take().and_then(|hint| all.iter().find(|e| e.node == hint));
         if hinted.is_some() {
             self.entry.state.counters.redirects.add();
         }
@@ -144,15 +127,10 @@
             .or_else(|| self.entry.picker.pick(now, all, &tries.tried, random))
             // All were tried: a refusal by one of them may be over by now.
             .or_else(|| self.entry.picker.pick(now, all, &[], random));
-        let endpoint = picked
-            .ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?
-            .clone();
+        let endpoint = picked.ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?.clone();
         tries.tried.push(endpoint.node);
         tries.made += 1;
-        Ok(Attempt {
-            id: self.entry.state.next_attempt(),
-            endpoint,
-        })
+        Ok(Attempt { id: self.entry.state.next_attempt(), endpoint })
     }
 
     /// Returns the error for the caller unless another attempt may be made, and waits for it.
@@ -201,8 +179,7 @@
     /// Returns the throttle of this call's service and rank, unless it is switched off.
     pub fn throttle(&self) -> Option<&goldcresttally_routing::Throttle> {
         let list = self.serving.throttles.get(&self.route.service.name)?;
-        list.get(self.route.rank.index)
-            .filter(|_| self.entry.options.throttle)
+        list.get(self.route.rank.index).filter(|_| self.entry.options.throttle)
     }
 
     /// Returns the instant of the call's deadline.
@@ -212,10 +189,7 @@
 }
 
 fn host_of(parts: &Parts) -> String {
-    let header = parts
-        .headers
-        .get(http::header::HOST)
-        .and_then(|v| v.to_str().ok());
+    let header = parts.headers.get(http::header::HOST).and_then(|v| v.to_str().ok());
     let authority = parts.uri.authority().map(http::uri::Authority::as_str);
     authority.or(header).unwrap_or("upstream").to_owned()
 }
--- a/goldcresttally-proxy/src/entry/keyed.rs
+++ b/goldcresttally-proxy/src/entry/keyed.rs
@@ -85,13 +85,7 @@
                         Verdict::MayHaveRun | Verdict::Ran => return Err(error),
                     };
                     if let Err(error) = retry {
-                        self.record(
-                            held,
-                            Claim {
-                                state: ClaimState::Free,
-                                ..claim
-                            },
-                        );
+                        self.record(held, Claim { state: ClaimState::Free, ..claim });
                         return Err(error);
                     }
                 }
@@ -106,17 +100,9 @@
             if self.deadline.is_past(self.entry.state.clock.now()) {
                 return Err(CallError::not_run(Reason::Deadline));
             }
-            match self
-                .entry
-                .claims
-                .write(row.to_owned(), expected, claim.encode())
-                .await
-            {
+            match self.entry.claims.write(row.to_owned(), expected, claim.encode()).await {
                 ClaimWrite::Written(revision) => {
-                    return Ok(Claiming::Held(Held {
-                        row: row.to_owned(),
-                        revision,
-                    }));
+                    return Ok(Claiming::Held(Held { row: row.to_owned(), revision }));
                 }
                 ClaimWrite::Unavailable => {
                     return Err(CallError::not_run(Reason::TableUnavailable));
@@ -135,10 +121,7 @@
             };
             // The write whose answer was lost took effect.
             if other.attempt == claim.attempt {
-                return Ok(Claiming::Held(Held {
-                    row: row.to_owned(),
-                    revision: found.revision,
-                }));
+                return Ok(Claiming::Held(Held { row: row.to_owned(), revision: found.revision }));
             }
             if let Some(response) = self.outcome_of(&other, claim.fingerprint).await? {
                 return Ok(Claiming::Answered(response));
@@ -162,11 +145,9 @@
         }
         match &other.state {
             ClaimState::Free => Ok(None),
-            ClaimState::Answered {
-                status,
-                content_type,
-                body: Some(body),
-            } => Ok(Some(replayed(*status, content_type, body))),
+            ClaimState::Answered { status, content_type, body: Some(body) } => {
+                Ok(Some(replayed(*status, content_type, body)))
+            }
             ClaimState::Answered { body: None, .. } => self.settle_other(other, true).await,
             ClaimState::Running => self.settle_other(other, false).await,
         }
@@ -207,26 +188,12 @@
     /// Writes the answer to the claim, behind the caller's back: until it is written, a repeat
     /// asks the node that ran the attempt.
     fn record_answer(&self, held: Held, claim: Claim, response: &Response<CallBody>) {
-        let text = |name| {
-            response
-                .headers()
-                .get(name)
-                .and_then(|v: &HeaderValue| v.to_str().ok())
-        };
-        let content_type = text(http::header::CONTENT_TYPE)
-            .unwrap_or_default()
-            .to_owned();
+        let text = |name| response.headers().get(name).and_then(|v: &HeaderValue| v.to_str().ok());
+        let content_type = text(http::header::CONTENT_TYPE).unwrap_or_default().to_owned();
         let status = response.status().as_u16();
         // The body is with the ledger for as long as its node remembers it.
-        let kept = response
-            .extensions()
-            .get::<KeptBody>()
-            .and_then(KeptBody::text);
-        let state = ClaimState::Answered {
-            status,
-            content_type,
-            body: kept,
-        };
+        let kept = response.extensions().get::<KeptBody>().and_then(KeptBody::text);
+        let state = ClaimState::Answered { status, content_type, body: kept };
         self.record(held, Claim { state, ..claim });
     }
 
@@ -241,21 +208,13 @@
     fn fingerprint(&self, body: &Replay<CallBody>) -> Fingerprint {
         let mut hasher = DefaultHasher::new();
         self.parts.method.hash(&mut hasher);
-        self.parts
-            .uri
-            .path_and_query()
-            .map(http::uri::PathAndQuery::as_str)
-            .hash(&mut hasher);
+        self.parts.uri.path_and_query().map(http::uri::PathAndQuery::as_str).hash(&mut hasher);
         body.start().hash(&mut hasher);
         Fingerprint(hasher.finish())
     }
 
     fn claim_row(&self, key: &HeaderValue) -> String {
-        format!(
-            "claim/{}/{}",
-            self.route.service.name,
-            Digest::of(key.as_bytes())
-        )
+        format!("claim/{}/{}", self.route.service.name, Digest::of(key.as_bytes()))
     }
 }
 
@@ -266,9 +225,7 @@
 impl KeptBody {
     fn text(&self) -> Option<String> {
         let small = self.0.len() <= KEPT_BODY_LIMIT_BYTES;
-        small
-            .then(|| std::str::from_utf8(&self.0).ok().map(str::to_owned))
-            .flatten()
+        small.then(|| std::str::from_utf8(&self.0).ok().map(str::to_owned)).flatten()
     }
 }
 
@@ -295,21 +252,14 @@
         since: goldcresttally_core::MonoTime(0),
         observed: Arc::new(Observed::default()),
     };
-    Some(Attempt {
-        id: claim.attempt,
-        endpoint,
-    })
+    Some(Attempt { id: claim.attempt, endpoint })
 }
 
 fn replayed(status: u16, content_type: &str, body: &str) -> Response<CallBody> {
     let mut response = Response::new(full(body.to_owned()));
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
     if !content_type.is_empty() {
-        headers::set(
-            response.headers_mut(),
-            http::header::CONTENT_TYPE,
-            content_type,
-        );
+        headers::set(response.headers_mut(), http::header::CONTENT_TYPE, content_type);
     }
     headers::set(response.headers_mut(), headers::REPLAYED, "true");
     response
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -38,11 +38,7 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self {
-            throttle: true,
-            retry_budget: true,
-            settle: true,
-        }
+        Self { throttle: true, retry_budget: true, settle: true }
     }
 }
 
@@ -124,8 +120,7 @@
         let answered = result.as_ref().is_ok_and(|r| !r.status().is_server_error());
         let rank = &call.route.rank;
         let good = answered && latency <= rank.target;
-        self.recorder
-            .record(&call.route.service.name, &rank.name, latency, good);
+        self.recorder.record(&call.route.service.name, &rank.name, latency, good);
     }
 }
 
--- a/goldcresttally-proxy/src/entry/observe.rs
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -49,10 +49,7 @@
 
 impl Watched {
     pub fn new(body: CallBody, in_flight: InFlight) -> Self {
-        Self {
-            body,
-            _in_flight: in_flight,
-        }
+        Self { body, _in_flight: in_flight }
     }
 }
 
--- a/goldcresttally-proxy/src/entry/settle.rs
+++ b/goldcresttally-proxy/src/entry/settle.rs
@@ -70,10 +70,7 @@
         deadline: Deadline,
     ) -> Result<Settlement, LinkError> {
         let req = self.control_request("settle", attempt, deadline);
-        let response = self
-            .links
-            .send_fresh(attempt.endpoint.peer, req, deadline)
-            .await?;
+        let response = self.links.send_fresh(attempt.endpoint.peer, req, deadline).await?;
         let (mut parts, body) = response.into_parts();
         let text = headers::parse::<String>(&parts.headers, &headers::SETTLEMENT);
         match text.as_deref() {
@@ -83,11 +80,7 @@
                 let body = body.collect().await.or(Err(LinkError::Lost))?.to_bytes();
                 headers::strip_internal(&mut parts.headers);
                 let (status, headers) = (parts.status, parts.headers);
-                Ok(Settlement::Done(Some(Answer {
-                    status,
-                    headers,
-                    body,
-                })))
+                Ok(Settlement::Done(Some(Answer { status, headers, body })))
             }
             Some("done") => Ok(Settlement::Done(None)),
             _ => Ok(Settlement::Unknown),
@@ -104,10 +97,7 @@
             return;
         }
         // The deadline at the peer ends what a lost cancellation does not.
-        let _ = self
-            .links
-            .send(attempt.endpoint.peer, req, deadline, false)
-            .await;
+        let _ = self.links.send(attempt.endpoint.peer, req, deadline, false).await;
     }
 
     fn control_request(
--- a/goldcresttally-proxy/src/errors.rs
+++ b/goldcresttally-proxy/src/errors.rs
@@ -101,29 +101,17 @@
 impl CallError {
     /// Returns the failure of a call that did not run.
     pub fn not_run(reason: Reason) -> Self {
-        Self {
-            verdict: Verdict::NotRun,
-            reason,
-            redirect: None,
-        }
+        Self { verdict: Verdict::NotRun, reason, redirect: None }
     }
 
     /// Returns the failure of a call that may have run.
     pub fn may_have_run(reason: Reason) -> Self {
-        Self {
-            verdict: Verdict::MayHaveRun,
-            reason,
-            redirect: None,
-        }
+        Self { verdict: Verdict::MayHaveRun, reason, redirect: None }
     }
 
     /// Returns the failure of a call that ran.
     pub fn ran(reason: Reason) -> Self {
-        Self {
-            verdict: Verdict::Ran,
-            reason,
-            redirect: None,
-        }
+        Self { verdict: Verdict::Ran, reason, redirect: None }
     }
 
     /// Writes the answer that says so.
@@ -144,10 +132,6 @@
         let verdict = headers::parse(headers, &headers::VERDICT)?;
         let reason = headers::parse(headers, &headers::REASON).unwrap_or(Reason::ConnectionLost);
         let redirect = headers::parse(headers, &headers::REDIRECT);
-        Some(Self {
-            verdict,
-            reason,
-            redirect,
-        })
+        Some(Self { verdict, reason, redirect })
     }
 }
--- a/goldcresttally-proxy/src/headers.rs
+++ b/goldcresttally-proxy/src/headers.rs
@@ -55,14 +55,7 @@
     for name in named {
         headers.remove(name);
     }
-    for name in [
-        CONNECTION,
-        TE,
-        TRANSFER_ENCODING,
-        UPGRADE,
-        KEEP_ALIVE,
-        PROXY_CONNECTION,
-    ] {
+    for name in [CONNECTION, TE, TRANSFER_ENCODING, UPGRADE, KEEP_ALIVE, PROXY_CONNECTION] {
         headers.remove(name);
     }
 }
--- a/goldcresttally-proxy/src/link/dial.rs
+++ b/goldcresttally-proxy/src/link/dial.rs
@@ -46,10 +46,8 @@
 
 impl Links {
     pub(super) async fn dial(&self, to: SocketAddr, deadline: Deadline) -> Result<Link, LinkError> {
-        let connect_by = Deadline::after(
-            self.clock().now(),
-            Duration::from_millis(CONNECT_TIMEOUT_MS),
-        );
+        let connect_by =
+            Deadline::after(self.clock().now(), Duration::from_millis(CONNECT_TIMEOUT_MS));
         let connect_by = self.clock().instant(connect_by.min(deadline));
         let connect = tokio::time::timeout_at(connect_by, self.transport.connect(to));
         let Ok(Ok(stream)) = connect.await else {
--- a/goldcresttally-proxy/src/link/mod.rs
+++ b/goldcresttally-proxy/src/link/mod.rs
@@ -66,12 +66,7 @@
 impl Links {
     /// Returns links that are opened when first used; their tasks are tracked in `tasks`.
     pub fn new(state: Arc<State>, transport: Arc<dyn Transport>, tasks: TaskTracker) -> Self {
-        Self {
-            state,
-            transport,
-            tasks,
-            slots: ArcSwap::default(),
-        }
+        Self { state, transport, tasks, slots: ArcSwap::default() }
     }
 
     /// Sends a request over the kept link, opening one if there is none.
@@ -140,8 +135,7 @@
         }
         let dialed = self.dial(to, deadline).await;
         if dialed.is_err() {
-            slot.failed_us
-                .store(self.clock().now().0, Ordering::Relaxed);
+            slot.failed_us.store(self.clock().now().0, Ordering::Relaxed);
         }
         let link = Arc::new(dialed?);
         slot.link.store(Some(Arc::clone(&link)));
@@ -157,11 +151,7 @@
             slots.entry(to).or_default();
             slots
         });
-        self.slots
-            .load()
-            .get(&to)
-            .map(Arc::clone)
-            .unwrap_or_default()
+        self.slots.load().get(&to).map(Arc::clone).unwrap_or_default()
     }
 
     async fn probe(&self, link: &Link) -> bool {
--- a/goldcresttally-proxy/src/peer/attempts.rs
+++ b/goldcresttally-proxy/src/peer/attempts.rs
@@ -39,18 +39,10 @@
     fn default() -> Self {
         let cell = |_| {
             let ledger = Ledger::new(Options::default());
-            let shard = Mutex::new(Shard {
-                ledger,
-                running: Map::default(),
-            });
-            Cell {
-                shard,
-                ended: Notify::new(),
-            }
+            let shard = Mutex::new(Shard { ledger, running: Map::default() });
+            Cell { shard, ended: Notify::new() }
         };
-        Self {
-            cells: (0..SHARDS).map(cell).collect(),
-        }
+        Self { cells: (0..SHARDS).map(cell).collect() }
     }
 }
 
@@ -59,10 +51,7 @@
     pub fn begin(&self, now: MonoTime, ticket: &Ticket) -> Result<CancellationToken, CallError> {
         let retention = ticket.keyed.then(|| Duration::from_secs(KEYED_RETENTION_S));
         let mut shard = self.shard(ticket.attempt);
-        match shard
-            .ledger
-            .begin(now, ticket.attempt, ticket.deadline, retention)
-        {
+        match shard.ledger.begin(now, ticket.attempt, ticket.deadline, retention) {
             Ok(()) => {
                 let token = CancellationToken::new();
                 shard.running.insert(ticket.attempt, token.clone());
@@ -129,10 +118,7 @@
     pub fn size(&self) -> (usize, usize) {
         self.cells.iter().fold((0, 0), |(entries, bytes), cell| {
             let shard = lock(cell);
-            (
-                entries + shard.ledger.len(),
-                bytes + shard.ledger.answer_bytes(),
-            )
+            (entries + shard.ledger.len(), bytes + shard.ledger.answer_bytes())
         })
     }
 
--- a/goldcresttally-proxy/src/peer/exchange.rs
+++ b/goldcresttally-proxy/src/peer/exchange.rs
@@ -41,18 +41,12 @@
 
 /// Tells whether the answer is a sign of overload, whether or not the call ran.
 pub(super) fn is_overload(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
-    )
+    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
 }
 
 /// Tells whether the end of the answer can be told from a cut.
 pub(super) fn is_well_framed(method: &Method, response: &Response<Incoming>) -> bool {
-    let bodiless = matches!(
-        response.status(),
-        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-    );
+    let bodiless = matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     bodiless || method == Method::HEAD || headers::has_framing(response.headers())
 }
 
--- a/goldcresttally-proxy/src/peer/gate.rs
+++ b/goldcresttally-proxy/src/peer/gate.rs
@@ -64,10 +64,7 @@
             next: 0,
             actions: Vec::new(),
         };
-        Self {
-            inner: Mutex::new(inner),
-            pool: UpstreamPool::new(address),
-        }
+        Self { inner: Mutex::new(inner), pool: UpstreamPool::new(address) }
     }
 
     /// Returns the upstream's address.
@@ -92,12 +89,7 @@
     pub(super) fn configure(&self, state: &State, upstream: &LocalUpstream, policy: Policy) {
         let serving = state.serving();
         let service = serving.snapshot.service(&upstream.service);
-        let floors = serving
-            .snapshot
-            .ranks()
-            .iter()
-            .map(|r| r.floor.fraction())
-            .collect();
+        let floors = serving.snapshot.ranks().iter().map(|r| r.floor.fraction()).collect();
         let options = Options {
             policy,
             concurrency: service.map_or(upstream.slots, |s| s.max_concurrency.min(upstream.slots)),
@@ -105,14 +97,7 @@
             floors,
         };
         self.step(state, Event::Configure(options));
-        self.step(
-            state,
-            if upstream.draining {
-                Event::Drain
-            } else {
-                Event::Open
-            },
-        );
+        self.step(state, if upstream.draining { Event::Drain } else { Event::Open });
     }
 
     pub(super) fn drain(&self, state: &State) {
@@ -138,20 +123,8 @@
             inner.waiting.insert(call, tx);
             call
         };
-        let place = Place {
-            gate: self,
-            state,
-            call,
-            outcome: Outcome::Failed,
-        };
-        self.step(
-            state,
-            Event::Offer {
-                call,
-                rank,
-                deadline,
-            },
-        );
+        let place = Place { gate: self, state, call, outcome: Outcome::Failed };
+        self.step(state, Event::Offer { call, rank, deadline });
         match rx.await {
             Ok(Ok(())) => Ok(place),
             Ok(Err(Refusal::Overloaded)) => Err(CallError::not_run(Reason::Overloaded)),
@@ -162,12 +135,7 @@
 
     fn step(&self, state: &State, event: Event) {
         let mut inner = self.lock();
-        let Inner {
-            admission,
-            waiting,
-            actions,
-            ..
-        } = &mut *inner;
+        let Inner { admission, waiting, actions, .. } = &mut *inner;
         if let Event::Withdraw { call } = &event {
             waiting.remove(call);
         }
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -64,15 +64,7 @@
         redirects: bool,
     ) -> Self {
         let attempts = Attempts::default();
-        Self {
-            state,
-            transport,
-            tasks,
-            attempts,
-            gates: ArcSwap::default(),
-            policy,
-            redirects,
-        }
+        Self { state, transport, tasks, attempts, gates: ArcSwap::default(), policy, redirects }
     }
 
     /// Returns what the request path reads.
@@ -92,18 +84,10 @@
             let known = list.and_then(|l| l.iter().find(|g| g.address() == upstream.address));
             let gate = known.map_or_else(|| Arc::new(Gate::new(upstream.address)), Arc::clone);
             gate.configure(&self.state, upstream, self.policy);
-            gates
-                .entry(upstream.service.clone())
-                .or_default()
-                .push(gate);
+            gates.entry(upstream.service.clone()).or_default().push(gate);
         }
         let kept = |gate: &Arc<Gate>| gates.values().flatten().any(|g| Arc::ptr_eq(g, gate));
-        let gone: Vec<_> = held
-            .values()
-            .flatten()
-            .filter(|g| !kept(g))
-            .map(Arc::clone)
-            .collect();
+        let gone: Vec<_> = held.values().flatten().filter(|g| !kept(g)).map(Arc::clone).collect();
         self.gates.store(Arc::new(gates));
         for gate in gone {
             gate.drain(&self.state);
@@ -129,9 +113,7 @@
         let gates = self.gates.load();
         let load = |(service, list): (&ServiceName, &Vec<Arc<Gate>>)| {
             let service = service.clone();
-            list.iter()
-                .map(|g| (service.clone(), g.address(), g.load()))
-                .collect::<Vec<_>>()
+            list.iter().map(|g| (service.clone(), g.address(), g.load())).collect::<Vec<_>>()
         };
         gates.iter().flat_map(load).collect()
     }
@@ -177,12 +159,7 @@
         // The attempt goes on when the connection that brought it breaks: its entry node will ask
         // for the outcome on another one.
         let (tx, rx) = tokio::sync::oneshot::channel();
-        let run = run::Run {
-            peer: Arc::clone(self),
-            ticket,
-            cancelled,
-            answer: Some(tx),
-        };
+        let run = run::Run { peer: Arc::clone(self), ticket, cancelled, answer: Some(tx) };
         self.tasks.spawn(run.run(parts, body));
         let lost = |_| CallError::may_have_run(Reason::ConnectionLost).into_response();
         rx.await.unwrap_or_else(lost)
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -95,8 +95,7 @@
             }
             Ok((response, _)) if !is_well_framed(&method, &response) => self.bad_answer(),
             Ok((response, connection)) => {
-                self.pass_on(gate, place, &method, response, connection)
-                    .await;
+                self.pass_on(gate, place, &method, response, connection).await;
             }
         }
     }
@@ -115,15 +114,10 @@
         let whole = if is_small(&parts.headers) || method == Method::HEAD {
             self.answer_whole(Response::from_parts(parts, body)).await
         } else {
-            self.answer_in_chunks(Response::from_parts(parts, body))
-                .await
+            self.answer_in_chunks(Response::from_parts(parts, body)).await
         };
         if whole {
-            place.set_outcome(if overloaded {
-                Outcome::Shed
-            } else {
-                Outcome::Answered
-            });
+            place.set_outcome(if overloaded { Outcome::Shed } else { Outcome::Answered });
             gate.pool().give_back(connection).await;
         }
     }
@@ -145,11 +139,7 @@
         };
         let body = body.to_bytes();
         let headers = parts.headers.clone();
-        let answer = Answer {
-            status: parts.status,
-            headers,
-            body: body.clone(),
-        };
+        let answer = Answer { status: parts.status, headers, body: body.clone() };
         self.peer.attempts.done(self.ticket.attempt, Some(answer));
         self.send(Response::from_parts(parts, full(body)));
         true
@@ -193,10 +183,7 @@
 
     fn refuse(&mut self, mut error: CallError) {
         self.peer.attempts.not_run(self.ticket.attempt);
-        if matches!(
-            error.reason,
-            Reason::Overloaded | Reason::Draining | Reason::Shed
-        ) {
+        if matches!(error.reason, Reason::Overloaded | Reason::Draining | Reason::Shed) {
             error.redirect = self.peer.redirect_hint(&self.ticket.service);
         }
         let mut response = error.into_response();
@@ -227,10 +214,7 @@
         let list = gates.get(service)?;
         let share = |gate: &&Arc<Gate>| {
             let load = gate.load();
-            (
-                gate.is_draining(),
-                (load.running + load.waiting) * 1000 / load.limit.max(1),
-            )
+            (gate.is_draining(), (load.running + load.waiting) * 1000 / load.limit.max(1))
         };
         list.iter().min_by_key(share).map(Arc::clone)
     }
--- a/goldcresttally-proxy/src/peer/upstream.rs
+++ b/goldcresttally-proxy/src/peer/upstream.rs
@@ -55,10 +55,7 @@
 
 impl UpstreamPool {
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            idle: Mutex::default(),
-        }
+        Self { address, idle: Mutex::default() }
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -125,13 +122,7 @@
         let Ok((sender, connection)) = handshake else {
             return Err(UpstreamError::NotSent);
         };
-        let task = tasks
-            .spawn(async move { drop(connection.await) })
-            .abort_handle();
-        Ok(Connection {
-            sender,
-            task,
-            idle_since: Instant::now(),
-        })
+        let task = tasks.spawn(async move { drop(connection.await) }).abort_handle();
+        Ok(Connection { sender, task, idle_since: Instant::now() })
     }
 }
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -44,10 +44,7 @@
             .services()
             .map(|s| (s.name.clone(), (0..ranks).map(throttle).collect()))
             .collect();
-        Self {
-            snapshot,
-            throttles,
-        }
+        Self { snapshot, throttles }
     }
 }
 
@@ -137,9 +134,7 @@
 
     /// Returns the latest life seen at this node's address after its own, or its own.
     pub fn latest_generation(&self) -> Generation {
-        self.identity
-            .generation
-            .max(Generation(self.superseded_by.load(Ordering::Acquire)))
+        self.identity.generation.max(Generation(self.superseded_by.load(Ordering::Acquire)))
     }
 
     /// Returns the id of a new attempt.
--- a/goldcresttally-proxy/src/transport.rs
+++ b/goldcresttally-proxy/src/transport.rs
@@ -32,18 +32,12 @@
 impl TcpTransport {
     /// Returns a transport whose connections come from `local`, if that is given.
     pub fn new(local: Option<IpAddr>) -> Self {
-        Self {
-            local: local.filter(|ip| !ip.is_unspecified()),
-        }
+        Self { local: local.filter(|ip| !ip.is_unspecified()) }
     }
 
     /// Connects to `to`.
     pub async fn dial(self, to: SocketAddr) -> io::Result<tokio::net::TcpStream> {
-        let socket = if to.is_ipv4() {
-            TcpSocket::new_v4()?
-        } else {
-            TcpSocket::new_v6()?
-        };
+        let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         if let Some(local) = self.local.filter(|ip| ip.is_ipv4() == to.is_ipv4()) {
             socket.bind(SocketAddr::new(local, 0))?;
         }
--- a/goldcresttally-report/src/burn.rs
+++ b/goldcresttally-report/src/burn.rs
@@ -64,11 +64,7 @@
             let objective = objectives.get(&s.service).copied().unwrap_or(0.99);
             burn_row(s, objective)
         };
-        Self {
-            version,
-            rows: summary.series().iter().map(row).collect(),
-            ..Self::default()
-        }
+        Self { version, rows: summary.series().iter().map(row).collect(), ..Self::default() }
     }
 }
 
@@ -97,9 +93,7 @@
         p50_ms: quantile_ms(0.5),
         p99_ms: quantile_ms(0.99),
         alert: alert.to_owned(),
-        minutes: (0..60)
-            .map(|age| bad_share(series, age, 1) / budget)
-            .collect(),
+        minutes: (0..60).map(|age| bad_share(series, age, 1) / budget).collect(),
     }
 }
 
--- a/goldcresttally-report/src/recorder.rs
+++ b/goldcresttally-report/src/recorder.rs
@@ -43,10 +43,7 @@
 impl Default for Recorder {
     fn default() -> Self {
         let shards = (0..SHARDS).map(|_| Mutex::default()).collect();
-        Self {
-            started: Instant::now(),
-            shards,
-        }
+        Self { started: Instant::now(), shards }
     }
 }
 
@@ -55,20 +52,12 @@
     pub fn record(&self, service: &ServiceName, rank: &RankName, latency: Duration, good: bool) {
         let minute = self.minute();
         let shard = latency.subsec_nanos() as usize / 64 % SHARDS;
-        let mut cells = self.shards[shard]
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let cell = cells
-            .entry((service.clone(), rank.clone()))
-            .or_insert_with(Cell::new);
-        cell.latency_us
-            .saturating_record(latency.as_micros() as u64);
+        let mut cells = self.shards[shard].lock().unwrap_or_else(PoisonError::into_inner);
+        let cell = cells.entry((service.clone(), rank.clone())).or_insert_with(Cell::new);
+        cell.latency_us.saturating_record(latency.as_micros() as u64);
         let slot = &mut cell.minutes[(minute as usize) % MINUTES];
         if slot.number != minute {
-            *slot = Minute {
-                number: minute,
-                ..Minute::default()
-            };
+            *slot = Minute { number: minute, ..Minute::default() };
         }
         slot.calls += 1;
         slot.good += u64::from(good);
@@ -103,10 +92,7 @@
         let latency_us = Histogram::new_with_bounds(1, LATENCY_LIMIT_US, LATENCY_DIGITS);
         // The bounds are constants that the library accepts.
         let latency_us = latency_us.unwrap_or_else(|_| unreachable!("valid histogram bounds"));
-        Self {
-            latency_us,
-            minutes: vec![Minute::default(); MINUTES],
-        }
+        Self { latency_us, minutes: vec![Minute::default(); MINUTES] }
     }
 
     /// Returns a count by age in minutes, the current minute first.
--- a/goldcresttally-report/src/summary.rs
+++ b/goldcresttally-report/src/summary.rs
@@ -37,10 +37,7 @@
     /// Adds one series to the one of the same service and rank.
     pub fn add(&mut self, other: &Series) {
         let key = (&other.service, &other.rank);
-        match self
-            .series
-            .binary_search_by(|s| (&s.service, &s.rank).cmp(&key))
-        {
+        match self.series.binary_search_by(|s| (&s.service, &s.rank).cmp(&key)) {
             Ok(at) => self.series[at].merge(other),
             Err(at) => self.series.insert(at, other.clone()),
         }
@@ -105,20 +102,8 @@
             for (value, count) in plain.latency_us {
                 latency_us.saturating_record_n(value, count);
             }
-            let PlainSeries {
-                service,
-                rank,
-                calls,
-                good,
-                ..
-            } = plain;
-            summary.add(&Series {
-                service,
-                rank,
-                latency_us,
-                calls,
-                good,
-            });
+            let PlainSeries { service, rank, calls, good, .. } = plain;
+            summary.add(&Series { service, rank, latency_us, calls, good });
         }
         Ok(summary)
     }
--- a/goldcresttally-routing/src/budget.rs
+++ b/goldcresttally-routing/src/budget.rs
@@ -29,17 +29,14 @@
         let limit = RESERVE * RETRY_COST_MILLI;
         let tokens = self.tokens_milli.load(Ordering::Relaxed);
         if tokens < limit {
-            self.tokens_milli
-                .fetch_add(self.per_call_milli, Ordering::Relaxed);
+            self.tokens_milli.fetch_add(self.per_call_milli, Ordering::Relaxed);
         }
     }
 
     /// Takes the cost of one retry; returns whether the budget allows it.
     pub fn take(&self) -> bool {
         let enough = |tokens: i64| (tokens >= RETRY_COST_MILLI).then(|| tokens - RETRY_COST_MILLI);
-        self.tokens_milli
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, enough)
-            .is_ok()
+        self.tokens_milli.fetch_update(Ordering::Relaxed, Ordering::Relaxed, enough).is_ok()
     }
 }
 
--- a/goldcresttally-routing/src/ejection.rs
+++ b/goldcresttally-routing/src/ejection.rs
@@ -19,11 +19,7 @@
 
 impl Default for Ejection {
     fn default() -> Self {
-        Self {
-            failures: 3,
-            base: Duration::from_secs(1),
-            share: 0.5,
-        }
+        Self { failures: 3, base: Duration::from_secs(1), share: 0.5 }
     }
 }
 
--- a/goldcresttally-routing/src/picker.rs
+++ b/goldcresttally-routing/src/picker.rs
@@ -21,9 +21,7 @@
 
 impl Default for Picker {
     fn default() -> Self {
-        Self {
-            slow_start: Duration::from_secs(5),
-        }
+        Self { slow_start: Duration::from_secs(5) }
     }
 }
 
@@ -43,9 +41,7 @@
         let healthy = |e: &&Endpoint| fresh(e) && e.ready && !e.observed.is_ejected(now);
         let mut best: Option<&Endpoint> = None;
         for locality in [Locality::Domain, Locality::Region, Locality::Remote] {
-            let tier = endpoints
-                .iter()
-                .filter(|e| healthy(e) && e.locality == locality);
+            let tier = endpoints.iter().filter(|e| healthy(e) && e.locality == locality);
             let Some(found) = self.better_of_two(now, &tier, &mut random) else {
                 continue;
             };
@@ -78,11 +74,7 @@
         }
         let second = (first + 1 + random(count - 1)) % count;
         let other = tier.clone().nth(second)?;
-        Some(if self.cost(now, other) < self.cost(now, one) {
-            other
-        } else {
-            one
-        })
+        Some(if self.cost(now, other) < self.cost(now, one) { other } else { one })
     }
 
     /// Returns the cost of one more call: work in flight times latency, over the warm-up share.
--- a/goldcresttally-routing/src/throttle.rs
+++ b/goldcresttally-routing/src/throttle.rs
@@ -43,16 +43,11 @@
             return;
         }
         let exchange =
-            self.halved_at_us
-                .compare_exchange(last, now.0, Ordering::Relaxed, Ordering::Relaxed);
+            self.halved_at_us.compare_exchange(last, now.0, Ordering::Relaxed, Ordering::Relaxed);
         if exchange.is_ok() {
             let halve = |n: u64| Some(n / 2);
-            let _ = self
-                .requests
-                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, halve);
-            let _ = self
-                .accepts
-                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, halve);
+            let _ = self.requests.fetch_update(Ordering::Relaxed, Ordering::Relaxed, halve);
+            let _ = self.accepts.fetch_update(Ordering::Relaxed, Ordering::Relaxed, halve);
         }
     }
 }
--- a/goldcresttally-standin/src/main.rs
+++ b/goldcresttally-standin/src/main.rs
@@ -32,20 +32,10 @@
         "announce the upstream to the operator ADDRESS of its node",
         "IP:PORT",
     );
-    options.optopt(
-        "s",
-        "service",
-        "announce the upstream as SERVICE",
-        "SERVICE",
-    );
+    options.optopt("s", "service", "announce the upstream as SERVICE", "SERVICE");
     options.optopt("", "slots", "calls that the upstream runs at once (8)", "N");
     options.optopt("", "service-ms", "time that one call takes (5)", "MS");
-    options.optopt(
-        "",
-        "cold-start-ms",
-        "time until the upstream is ready (0)",
-        "MS",
-    );
+    options.optopt("", "cold-start-ms", "time until the upstream is ready (0)", "MS");
     options.optflag("h", "help", "print this help and exit");
     options
 }
@@ -64,13 +54,8 @@
     let listen: SocketAddr = required(&matches, "listen")?;
     match role {
         Some("platform") => {
-            let platform = Platform::start(listen)
-                .await
-                .map_err(|e| format!("{listen}: {e}"))?;
-            println!(
-                "platform at {}; PUT /faults switches faults",
-                platform.address()
-            );
+            let platform = Platform::start(listen).await.map_err(|e| format!("{listen}: {e}"))?;
+            println!("platform at {}; PUT /faults switches faults", platform.address());
             wait_for_interrupt().await;
             platform.stop().await;
             Ok(())
@@ -82,10 +67,8 @@
 }
 
 async fn run_upstream(listen: SocketAddr, matches: &getopts::Matches) -> Result<(), String> {
-    let announce = Announce {
-        node: required(matches, "node")?,
-        service: required(matches, "service")?,
-    };
+    let announce =
+        Announce { node: required(matches, "node")?, service: required(matches, "service")? };
     let default = Behaviour::default();
     let behaviour = Behaviour {
         slots: optional(matches, "slots", default.slots)?,
@@ -95,21 +78,15 @@
     };
     let started = Upstream::start(listen, behaviour, Some(announce), Arc::default()).await;
     let upstream = started.map_err(|e| format!("{listen}: {e}"))?;
-    println!(
-        "upstream at {}; PUT /stand-in/behaviour changes it",
-        upstream.address()
-    );
+    println!("upstream at {}; PUT /stand-in/behaviour changes it", upstream.address());
     wait_for_interrupt().await;
     upstream.stop().await;
     Ok(())
 }
 
 fn required<T: std::str::FromStr>(matches: &getopts::Matches, name: &str) -> Result<T, String> {
-    let text = matches
-        .opt_str(name)
-        .ok_or_else(|| format!("--{name} is missing; see --help"))?;
-    text.parse()
-        .or(Err(format!("--{name}: `{text}` is not valid")))
+    let text = matches.opt_str(name).ok_or_else(|| format!("--{name} is missing; see --help"))?;
+    text.parse().or(Err(format!("--{name}: `{text}` is not valid")))
 }
 
 fn optional<T: std::str::FromStr>(
--- a/goldcresttally-standin/src/platform/faults.rs
+++ b/goldcresttally-standin/src/platform/faults.rs
@@ -55,8 +55,6 @@
         Err::<bytes::Bytes, _>(std::io::Error::other("answer lost"))
     });
     let mut response = Response::new(Body::from_stream(cut));
-    response
-        .headers_mut()
-        .insert("content-length", axum::http::HeaderValue::from_static("64"));
+    response.headers_mut().insert("content-length", axum::http::HeaderValue::from_static("64"));
     response
 }
--- a/goldcresttally-standin/src/platform/mod.rs
+++ b/goldcresttally-standin/src/platform/mod.rs
@@ -124,11 +124,7 @@
 ) -> Response {
     let faults = shared.faults.get();
     let writes = req.method() != axum::http::Method::GET;
-    let count = if writes {
-        &shared.counts.writes
-    } else {
-        &shared.counts.reads
-    };
+    let count = if writes { &shared.counts.writes } else { &shared.counts.reads };
     count.fetch_add(1, Ordering::Relaxed);
     if faults.silent || faults.cut.contains(&from.ip()) {
         std::future::pending::<()>().await;
--- a/goldcresttally-standin/src/platform/objects.rs
+++ b/goldcresttally-standin/src/platform/objects.rs
@@ -15,11 +15,7 @@
 pub(super) struct Objects(Mutex<HashMap<String, Bytes>>);
 
 pub(super) async fn read(State(shared): State<Arc<Shared>>, Path(name): Path<String>) -> Response {
-    let objects = shared
-        .objects
-        .0
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
+    let objects = shared.objects.0.lock().unwrap_or_else(PoisonError::into_inner);
     match objects.get(&name) {
         Some(body) => body.clone().into_response(),
         None => StatusCode::NOT_FOUND.into_response(),
@@ -31,11 +27,7 @@
     Path(name): Path<String>,
     body: Bytes,
 ) -> StatusCode {
-    let mut objects = shared
-        .objects
-        .0
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
+    let mut objects = shared.objects.0.lock().unwrap_or_else(PoisonError::into_inner);
     match objects.get(&name) {
         Some(held) if *held == body => StatusCode::OK,
         Some(_) => StatusCode::PRECONDITION_FAILED,
--- a/goldcresttally-standin/src/platform/table.rs
+++ b/goldcresttally-standin/src/platform/table.rs
@@ -35,9 +35,7 @@
     pub fn scan(&self, prefix: &str) -> Vec<Row> {
         let rows = self.lock();
         let from = rows.rows.range(prefix.to_owned()..);
-        from.take_while(|(key, _)| key.starts_with(prefix))
-            .map(|(_, row)| row.clone())
-            .collect()
+        from.take_while(|(key, _)| key.starts_with(prefix)).map(|(_, row)| row.clone()).collect()
     }
 
     /// Applies a transaction; returns the keys in conflict when a condition does not hold.
@@ -51,12 +49,8 @@
                 Expected::Revision(expected) => revision == Some(expected),
             }
         };
-        let conflicts: Vec<_> = transaction
-            .writes
-            .iter()
-            .filter(|w| !holds(w))
-            .map(|w| w.key.clone())
-            .collect();
+        let conflicts: Vec<_> =
+            transaction.writes.iter().filter(|w| !holds(w)).map(|w| w.key.clone()).collect();
         if !conflicts.is_empty() {
             return Err(conflicts);
         }
@@ -67,11 +61,7 @@
             match &write.change {
                 Change::Keep => {}
                 Change::Put(value) => {
-                    let row = Row {
-                        key: key.clone(),
-                        revision,
-                        value: value.clone(),
-                    };
+                    let row = Row { key: key.clone(), revision, value: value.clone() };
                     table.rows.insert(key, row);
                 }
                 Change::Delete => {
@@ -112,10 +102,8 @@
 ) -> Response {
     match shared.table.transact(&transaction) {
         Ok(revision) => Json(json!({ "revision": revision })).into_response(),
-        Err(conflicts) => (
-            StatusCode::CONFLICT,
-            Json(json!({ "conflicts": conflicts })),
-        )
-            .into_response(),
+        Err(conflicts) => {
+            (StatusCode::CONFLICT, Json(json!({ "conflicts": conflicts }))).into_response()
+        }
     }
 }
--- a/goldcresttally-standin/src/tasks.rs
+++ b/goldcresttally-standin/src/tasks.rs
@@ -30,11 +30,7 @@
                 () = stopped => Ok(()),
             }
         });
-        Ok(Self {
-            address,
-            stop,
-            task,
-        })
+        Ok(Self { address, stop, task })
     }
 
     /// Returns the address that is served.
--- a/goldcresttally-standin/src/upstream/handle.rs
+++ b/goldcresttally-standin/src/upstream/handle.rs
@@ -39,11 +39,8 @@
     };
     let body = body.to_bytes();
     let crowd = behaviour.slots as usize + behaviour.backlog as usize;
-    let busy = behaviour.slots as usize
-        - shared
-            .slots
-            .available_permits()
-            .min(behaviour.slots as usize);
+    let busy =
+        behaviour.slots as usize - shared.slots.available_permits().min(behaviour.slots as usize);
     let waits = busy >= behaviour.slots as usize && behaviour.backlog == 0;
     if behaviour.draining || waits || busy > crowd {
         return shed(&shared);
@@ -53,10 +50,7 @@
     };
     let call = text(&headers, "x-call-id");
     shared.record.start(&call);
-    let mut running = Running {
-        record: &shared.record,
-        ended: false,
-    };
+    let mut running = Running { record: &shared.record, ended: false };
     tokio::time::sleep(service_time(&headers, &behaviour)).await;
     if behaviour.mute {
         std::future::pending::<()>().await;
@@ -83,46 +77,30 @@
 fn shed(shared: &Shared) -> Response {
     shared.record.shed();
     let mut response = StatusCode::SERVICE_UNAVAILABLE.into_response();
-    response
-        .headers_mut()
-        .insert("tally-not-run", HeaderValue::from_static("true"));
+    response.headers_mut().insert("tally-not-run", HeaderValue::from_static("true"));
     response
 }
 
 fn service_time(headers: &HeaderMap, behaviour: &Behaviour) -> Duration {
-    let asked = text(headers, "x-service-ms")
-        .parse()
-        .unwrap_or(behaviour.service_ms);
+    let asked = text(headers, "x-service-ms").parse().unwrap_or(behaviour.service_ms);
     Duration::from_secs_f64(asked.clamp(0.0, 60_000.0) / 1000.0)
 }
 
 fn text(headers: &HeaderMap, name: &str) -> String {
-    headers
-        .get(name)
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or_default()
-        .to_owned()
+    headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
 }
 
 pub(super) async fn health(State(shared): State<Arc<Shared>>) -> StatusCode {
     let behaviour = shared.behaviour();
     let warm = shared.started.elapsed() >= Duration::from_millis(behaviour.cold_start_ms);
-    let healthy = behaviour
-        .reported_health
-        .unwrap_or(warm && !behaviour.draining);
-    if healthy {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    }
+    let healthy = behaviour.reported_health.unwrap_or(warm && !behaviour.draining);
+    if healthy { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
 
 pub(super) async fn load(State(shared): State<Arc<Shared>>) -> Json<Value> {
     let behaviour = shared.behaviour();
     let busy = f64::from(behaviour.slots) - shared.slots.available_permits() as f64;
-    let load = behaviour
-        .reported_load
-        .unwrap_or(busy / f64::from(behaviour.slots.max(1)));
+    let load = behaviour.reported_load.unwrap_or(busy / f64::from(behaviour.slots.max(1)));
     Json(json!({ "load": load }))
 }
 
@@ -134,12 +112,7 @@
 }
 
 pub(super) async fn show_record(State(shared): State<Arc<Shared>>) -> Json<Value> {
-    let doubled = shared
-        .record
-        .runs()
-        .values()
-        .filter(|r| r.started > 1)
-        .count();
+    let doubled = shared.record.runs().values().filter(|r| r.started > 1).count();
     Json(json!({
         "calls": shared.record.runs().len(),
         "doubled": doubled,
--- a/goldcresttally-standin/src/upstream/mod.rs
+++ b/goldcresttally-standin/src/upstream/mod.rs
@@ -39,17 +39,11 @@
 
 impl Shared {
     fn behaviour(&self) -> Behaviour {
-        self.behaviour
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.behaviour.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     fn set_behaviour(&self, behaviour: Behaviour) {
-        *self
-            .behaviour
-            .write()
-            .unwrap_or_else(PoisonError::into_inner) = behaviour;
+        *self.behaviour.write().unwrap_or_else(PoisonError::into_inner) = behaviour;
     }
 }
 
@@ -79,20 +73,10 @@
         let server = Server::start(address, router(&shared)).await?;
         let stop = CancellationToken::new();
         let announcer = announce.map(|announce| {
-            let task = announce::run(
-                Arc::clone(&shared),
-                announce,
-                server.address(),
-                stop.clone(),
-            );
+            let task = announce::run(Arc::clone(&shared), announce, server.address(), stop.clone());
             tokio::spawn(task)
         });
-        Ok(Self {
-            shared,
-            server,
-            stop,
-            announcer,
-        })
+        Ok(Self { shared, server, stop, announcer })
     }
 
     /// Returns the address that is served.
--- a/goldcresttally-standin/src/upstream/record.rs
+++ b/goldcresttally-standin/src/upstream/record.rs
@@ -52,10 +52,7 @@
 
     /// Returns all calls that ran.
     pub fn runs(&self) -> HashMap<String, Run> {
-        self.runs
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Returns the number of calls that were cancelled while they ran.
--- a/goldcresttally-wire/schema/wire.capnp
+++ b/goldcresttally-wire/schema/wire.capnp
@@ -85,8 +85,9 @@
 }
 
 interface Control {
-  join @0 (record :Record) -> (floor :UInt64, version :UInt64, records :List(Record), busy :Bool);
-  # Floor: the newest version ever told from the joining node's address.
+  join @0 (record :Record) -> (floor :UInt64, version :UInt64, records :List(Record), busy :Bool, knowsFloor :Bool);
+  # Floor: the newest version ever told from the joining node's address. A node that does not
+  # know its own floor yet knows nobody's.
 
   compare @1 (hashes :List(UInt64)) -> (records :List(Record));
   # Returns the records of the buckets whose hash differs.
--- a/goldcresttally-wire/src/datagram.rs
+++ b/goldcresttally-wire/src/datagram.rs
@@ -60,9 +60,5 @@
             target: request.get_target()?.to_str()?.parse()?,
         },
     };
-    Ok(Message {
-        header,
-        body,
-        updates: record::read_list(from.get_updates()?)?,
-    })
+    Ok(Message { header, body, updates: record::read_list(from.get_updates()?)? })
 }
--- a/goldcresttally-wire/src/update.rs
+++ b/goldcresttally-wire/src/update.rs
@@ -39,10 +39,7 @@
             return Err(Error::Oversized { bytes: body.len() });
         }
         let name = section.get_name()?.to_str()?.parse()?;
-        changed.push(ChangedSection {
-            name,
-            body: Arc::from(body),
-        });
+        changed.push(ChangedSection { name, body: Arc::from(body) });
     }
     let mut removed = Vec::new();
     for name in from.get_removed()? {
--- a/goldcresttallyd/src/control/claims.rs
+++ b/goldcresttallyd/src/control/claims.rs
@@ -35,12 +35,7 @@
     fn write(&self, key: String, expected: u64, value: String) -> BoxFuture<'_, ClaimWrite> {
         Box::pin(async move {
             let (reply, answer) = oneshot::channel();
-            let write = PendingClaim {
-                key,
-                expected,
-                value,
-                reply,
-            };
+            let write = PendingClaim { key, expected, value, reply };
             // A full queue means that the claim was never taken up.
             if self.commands.try_send(Command::Claim(write)).is_err() {
                 return ClaimWrite::Unavailable;
@@ -52,10 +47,7 @@
     fn read(&self, key: String) -> BoxFuture<'_, Result<Option<ClaimRow>, ()>> {
         Box::pin(async move {
             let row = self.table.read(&key).await.or(Err(()))?;
-            Ok(row.map(|row| ClaimRow {
-                revision: row.revision,
-                value: row.value,
-            }))
+            Ok(row.map(|row| ClaimRow { revision: row.revision, value: row.value }))
         })
     }
 }
@@ -85,13 +77,8 @@
         let machines = self.machines.borrow();
         let own = machines.membership.own();
         let members = machines.membership.members().chain([own]);
-        let local = members
-            .filter(|r| r.domain == own.domain && !r.leaving)
-            .map(|r| r.id);
-        (
-            own.id,
-            rendezvous::choose(local, "claims").unwrap_or(own.id),
-        )
+        let local = members.filter(|r| r.domain == own.domain && !r.leaving).map(|r| r.id);
+        (own.id, rendezvous::choose(local, "claims").unwrap_or(own.id))
     }
 
     /// Queues a claim for the next transaction of this node.
@@ -107,8 +94,7 @@
         let batch = self.machines.borrow_mut().batcher.take(self.now());
         if let Some(batch) = batch {
             let control = Rc::clone(self);
-            self.tasks
-                .spawn_local(async move { control.write_claims(batch).await });
+            self.tasks.spawn_local(async move { control.write_claims(batch).await });
             return;
         }
         let due = self.machines.borrow().batcher.due();
@@ -135,19 +121,13 @@
             Write::put(claim.key.clone(), expected, claim.value.clone())
         });
         let operation = OperationId(fastrand::u128(..));
-        let transaction = Transaction {
-            operation,
-            writes: writes.collect(),
-        };
+        let transaction = Transaction { operation, writes: writes.collect() };
         let table: Arc<HttpPlatform> = Arc::clone(&self.table);
         let outcome = match table.transact(&transaction).await {
             Ok(revision) => WriteOutcome::Written(revision),
             Err(Error::Conflict { keys }) => WriteOutcome::Conflict(keys),
             Err(e) => {
-                emit(
-                    events::CLAIM_WRITE_FAILED,
-                    format_args!("{} claims: {e}", batch.len()),
-                );
+                emit(events::CLAIM_WRITE_FAILED, format_args!("{} claims: {e}", batch.len()));
                 match e {
                     Error::AnswerLost { .. } => WriteOutcome::Unknown,
                     _ => WriteOutcome::Unavailable,
--- a/goldcresttallyd/src/control/command.rs
+++ b/goldcresttallyd/src/control/command.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use goldcresttally_config::Digest;
 use goldcresttally_core::{DomainId, Generation, NodeId, ServiceName, Version};
+use goldcresttally_distribution::VersionUpdate;
 use goldcresttally_ledger::ClaimWrite;
 use goldcresttally_membership::{Announcement, Record};
 use goldcresttally_proxy::claims;
@@ -18,7 +18,7 @@
     /// An upstream ended its lease.
     Withdraw(ServiceName, std::net::SocketAddr, oneshot::Sender<bool>),
     /// This node accepted a version on behalf of an operator.
-    Accepted(Version, Digest),
+    Accepted(Arc<VersionUpdate>),
     /// Asks for the state of the machines.
     Status(oneshot::Sender<ControlStatus>),
     /// Asks for all records known.
--- a/goldcresttallyd/src/control/connections.rs
+++ b/goldcresttallyd/src/control/connections.rs
@@ -55,7 +55,8 @@
 
 /// What a seed answers to a node that joins.
 pub(super) struct Joined {
-    pub floor: Version,
+    /// The oldest version that may be served at this address; `None` when the seed cannot know.
+    pub floor: Option<Version>,
     pub version: Version,
     pub records: Vec<Record>,
 }
@@ -85,11 +86,7 @@
 
 impl Connections {
     pub fn new(transport: Arc<dyn Transport>, traffic: Rc<Cell<Traffic>>) -> Self {
-        Self {
-            transport,
-            traffic,
-            kept: Kept::default(),
-        }
+        Self { transport, traffic, kept: Kept::default() }
     }
 
     /// Closes all connections.
@@ -108,7 +105,7 @@
             return Ok(None);
         }
         Ok(Some(Joined {
-            floor: Version(response.get_floor()),
+            floor: response.get_knows_floor().then(|| Version(response.get_floor())),
             version: Version(response.get_version()),
             records: record::read_list(response.get_records()?)?,
         }))
@@ -167,18 +164,12 @@
         if results.is_empty() {
             return Ok(ClaimWrite::Unknown);
         }
-        Ok(
-            match results
-                .get(0)
-                .which()
-                .map_err(goldcresttally_wire::Error::from)?
-            {
-                claim_result::Written(revision) => ClaimWrite::Written(revision),
-                claim_result::Conflict(()) => ClaimWrite::Conflict,
-                claim_result::Unavailable(_) => ClaimWrite::Unavailable,
-                claim_result::Unknown(_) => ClaimWrite::Unknown,
-            },
-        )
+        Ok(match results.get(0).which().map_err(goldcresttally_wire::Error::from)? {
+            claim_result::Written(revision) => ClaimWrite::Written(revision),
+            claim_result::Conflict(()) => ClaimWrite::Conflict,
+            claim_result::Unavailable(_) => ClaimWrite::Unavailable,
+            claim_result::Unknown(_) => ClaimWrite::Unknown,
+        })
     }
 
     /// Waits for an answer; a connection that does not answer in time is closed.
@@ -230,12 +221,8 @@
         });
         let beat = heartbeat(Rc::clone(&self.kept), to, client.clone(), Rc::clone(&used));
         let tasks = vec![run, tokio::task::spawn_local(beat)];
-        let connection = Connection {
-            client: client.clone(),
-            used,
-            tasks,
-            _disconnector: disconnector,
-        };
+        let connection =
+            Connection { client: client.clone(), used, tasks, _disconnector: disconnector };
         self.kept.borrow_mut().insert(to, connection);
         Ok(client)
     }
@@ -251,10 +238,7 @@
         let answered = tokio::time::timeout(limit, client.ping_request().send().promise).await;
         let alive = matches!(answered, Ok(Ok(_)));
         if !alive {
-            emit(
-                events::CONTROL_SILENT,
-                format_args!("to {to}: no heartbeat"),
-            );
+            emit(events::CONTROL_SILENT, format_args!("to {to}: no heartbeat"));
         }
         if !alive || idle >= IDLE_HEARTBEATS {
             // Dropping the connection ends this task too, so it comes last.
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -72,9 +72,7 @@
     socket: std::net::UdpSocket,
     commands: mpsc::Receiver<Command>,
 ) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(e) => return emit(events::NODE_STOPPED, format_args!("no runtime: {e}")),
@@ -82,16 +80,11 @@
     let local = LocalSet::new();
     let result = local.block_on(&runtime, async move {
         let control = Rc::new(Control::new(config, socket)?);
-        control
-            .run(TcpListener::from_std(listener)?, commands)
-            .await;
+        control.run(TcpListener::from_std(listener)?, commands).await;
         std::io::Result::Ok(())
     });
     if let Err(e) = result {
-        emit(
-            events::NODE_STOPPED,
-            format_args!("control thread failed: {e}"),
-        );
+        emit(events::NODE_STOPPED, format_args!("control thread failed: {e}"));
     }
 }
 
@@ -100,10 +93,7 @@
         let now = config.peer.state().clock.now();
         let settings = config.settings;
         let id = config.own.id;
-        let own = distribution::Peer {
-            id,
-            domain: config.own.domain.clone(),
-        };
+        let own = distribution::Peer { id, domain: config.own.domain.clone() };
         let rate = goldcresttally_core::Rate(settings.requests.claim_writes_per_second);
         let options = settings.distribution_options();
         let machines = Machines {
@@ -197,9 +187,8 @@
             Command::Withdraw(service, address, reply) => {
                 let _ = reply.send(self.on_withdraw(&service, address));
             }
-            Command::Accepted(version, manifest) => {
-                let manifest = Some(manifest);
-                self.on_distribution(distribution::Event::HeadRead { version, manifest });
+            Command::Accepted(update) => {
+                self.on_distribution(distribution::Event::Accepted(update));
             }
             Command::Status(reply) => {
                 let _ = reply.send(self.status());
@@ -226,14 +215,8 @@
 
     fn status(&self) -> ControlStatus {
         let machines = self.machines.borrow();
-        let Machines {
-            membership,
-            distribution,
-            ..
-        } = &*machines;
-        let suspects = membership
-            .members()
-            .filter(|r| r.status == members::Status::Suspect);
+        let Machines { membership, distribution, .. } = &*machines;
+        let suspects = membership.members().filter(|r| r.status == members::Status::Suspect);
         ControlStatus {
             node: membership.own().id,
             generation: membership.own().generation,
@@ -256,9 +239,6 @@
 fn thread_cpu_us() -> u64 {
     // The first field of schedstat is the time on a processor, in nanoseconds.
     let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
-    let ns = text
-        .split_whitespace()
-        .next()
-        .and_then(|n| n.parse::<u64>().ok());
+    let ns = text.split_whitespace().next().and_then(|n| n.parse::<u64>().ok());
     ns.unwrap_or(0) / 1000
 }
--- a/goldcresttallyd/src/control/idle.rs
+++ b/goldcresttallyd/src/control/idle.rs
@@ -30,14 +30,7 @@
 impl<T> Watched<T> {
     pub fn new(inner: T, traffic: Rc<Cell<Traffic>>) -> (Self, LastHeard) {
         let heard = LastHeard(Rc::new(Cell::new(Instant::now())));
-        (
-            Self {
-                inner,
-                heard: heard.clone(),
-                traffic,
-            },
-            heard,
-        )
+        (Self { inner, heard: heard.clone(), traffic }, heard)
     }
 
     fn count(&self, bytes_in: u64, bytes_out: u64) {
--- a/goldcresttallyd/src/control/join.rs
+++ b/goldcresttallyd/src/control/join.rs
@@ -10,28 +10,26 @@
 use crate::events::{self, emit};
 
 impl Control {
-    /// Tries the next seed when an attempt is due.
+    /// Tries a seed when an attempt is due, or any member while the floor is not known yet.
     pub(super) fn join_if_due(self: &Rc<Self>) {
         let due = self.machines.borrow().pacer.is_due(self.now());
-        if self.joined.get() || self.joining.get() || !due {
+        let knows_floor = self.machines.borrow().distribution.floor().is_some();
+        if (self.joined.get() && knows_floor) || self.joining.get() || !due {
             return;
         }
-        let own = self.machines.borrow().membership.own().id;
-        let seeds: Vec<NodeId> = self
-            .settings
-            .node
-            .seeds
-            .iter()
-            .copied()
-            .filter(|s| *s != own)
-            .collect();
+        let (own, mut seeds): (NodeId, Vec<NodeId>) = {
+            let machines = self.machines.borrow();
+            let members = machines.membership.members().map(|r| r.id);
+            (machines.membership.own().id, members.collect())
+        };
+        seeds.extend(&self.settings.node.seeds);
+        seeds.retain(|s| *s != own);
         let Some(seed) = fastrand::choice(seeds) else {
             return;
         };
         self.joining.set(true);
         let control = Rc::clone(self);
-        self.tasks
-            .spawn_local(async move { control.join(seed).await });
+        self.tasks.spawn_local(async move { control.join(seed).await });
     }
 
     async fn join(self: Rc<Self>, seed: NodeId) {
@@ -41,14 +39,21 @@
         match result {
             Ok(Some(joined)) => {
                 self.joined.set(true);
-                self.machines.borrow_mut().pacer.succeeded();
+                let now = self.now();
+                // Without a floor there is another attempt, at the pace of failures.
+                match joined.floor {
+                    Some(_) => self.machines.borrow_mut().pacer.succeeded(),
+                    None => self.machines.borrow_mut().pacer.failed(now),
+                }
                 emit(
                     events::JOINED,
                     format_args!("through {seed}: {} records", joined.records.len()),
                 );
                 self.on_members(members::Event::Learned(joined.records));
-                let floor = joined.floor.max(joined.version);
-                self.on_distribution(distribution::Event::FloorLearned(floor));
+                if let Some(floor) = joined.floor {
+                    let floor = floor.max(joined.version);
+                    self.on_distribution(distribution::Event::FloorLearned(floor));
+                }
                 let (from, version) = (seed, joined.version);
                 self.on_distribution(distribution::Event::PeerVersion { from, version });
             }
@@ -73,10 +78,7 @@
             let theirs: Vec<_> = records.iter().map(|r| r.id).collect();
             let ours: Vec<_> = {
                 let machines = control.machines.borrow();
-                let known = machines
-                    .membership
-                    .records()
-                    .chain([machines.membership.own()]);
+                let known = machines.membership.records().chain([machines.membership.own()]);
                 known.filter(|r| theirs.contains(&r.id)).cloned().collect()
             };
             let newer: Vec<_> = ours
--- a/goldcresttallyd/src/control/membership.rs
+++ b/goldcresttallyd/src/control/membership.rs
@@ -20,10 +20,7 @@
     pub(super) fn on_members(self: &Rc<Self>, event: Event) {
         let mut actions = Vec::new();
         let now = self.now();
-        self.machines
-            .borrow_mut()
-            .membership
-            .on_event(now, event, &mut actions);
+        self.machines.borrow_mut().membership.on_event(now, event, &mut actions);
         for action in actions {
             self.perform_members(action);
         }
@@ -38,19 +35,14 @@
             }
             Action::Sync { with } => self.spawn_sync(with),
             Action::Superseded { by } => {
-                let details = format_args!(
-                    "generation {} incarnation {}",
-                    by.generation, by.incarnation
-                );
+                let details =
+                    format_args!("generation {} incarnation {}", by.generation, by.incarnation);
                 emit(events::NODE_SUPERSEDED, details);
                 self.peer.state().set_superseded(by.generation);
                 self.stop.cancel();
             }
             Action::Resumed { gap } => {
-                emit(
-                    events::PROCESS_RESUMED,
-                    format_args!("after {} ms", gap.as_millis()),
-                );
+                emit(events::PROCESS_RESUMED, format_args!("after {} ms", gap.as_millis()));
                 // Leases lapsed by this node's own clock must not be acted on.
                 self.expire_leases();
                 self.connections.clear();
@@ -90,11 +82,7 @@
 
     pub(super) fn on_announce(self: &Rc<Self>, announcement: Announcement) {
         let details = announcement.clone();
-        let changed = self
-            .machines
-            .borrow_mut()
-            .registry
-            .announce(self.now(), announcement);
+        let changed = self.machines.borrow_mut().registry.announce(self.now(), announcement);
         if changed {
             let details = format_args!(
                 "{} at {} with {} slots, {}",
@@ -106,16 +94,9 @@
     }
 
     pub(super) fn on_withdraw(self: &Rc<Self>, service: &ServiceName, address: SocketAddr) -> bool {
-        let known = self
-            .machines
-            .borrow_mut()
-            .registry
-            .withdraw(service, address);
+        let known = self.machines.borrow_mut().registry.withdraw(service, address);
         if known {
-            emit(
-                events::UPSTREAM_WITHDRAWN,
-                format_args!("{service} at {address}"),
-            );
+            emit(events::UPSTREAM_WITHDRAWN, format_args!("{service} at {address}"));
             self.publish_upstreams();
         }
         known
@@ -134,10 +115,7 @@
 
     /// Tells how far a version has come, and asks those that have not told.
     pub(super) fn rollout(self: &Rc<Self>, version: Version) -> Rollout {
-        self.on_members(Event::AskVersions {
-            version,
-            limit: ASK_LIMIT,
-        });
+        self.on_members(Event::AskVersions { version, limit: ASK_LIMIT });
         let machines = self.machines.borrow();
         let Machines { membership, .. } = &*machines;
         let reports = membership.versions();
@@ -151,18 +129,9 @@
                     (false, Status::Suspect) => "unreachable",
                     (false, _) => "behind",
                 };
-                LaggingNode {
-                    node: r.id,
-                    version: r.version,
-                    reason: reason.to_owned(),
-                }
+                LaggingNode { node: r.id, version: r.version, reason: reason.to_owned() }
             })
             .collect();
-        Rollout {
-            version,
-            nodes: members.len(),
-            in_force: members.len() - lagging.len(),
-            lagging,
-        }
+        Rollout { version, nodes: members.len(), in_force: members.len() - lagging.len(), lagging }
     }
 }
--- a/goldcresttallyd/src/control/server.rs
+++ b/goldcresttallyd/src/control/server.rs
@@ -123,25 +123,19 @@
             return Ok(());
         }
         // The answer is made first: it must show what was known of the address before.
-        let (floor, version, records) = {
+        let (floor, version, ready, records) = {
             let machines = self.control.machines.borrow();
             let membership = &machines.membership;
-            let records: Vec<_> = membership
-                .records()
-                .chain([membership.own()])
-                .cloned()
-                .collect();
-            (
-                membership.version_floor(joining.id),
-                machines.distribution.version(),
-                records,
-            )
+            let records: Vec<_> = membership.records().chain([membership.own()]).cloned().collect();
+            let version = machines.distribution.version();
+            let ready = machines.distribution.is_ready();
+            (membership.version_floor(joining.id), version, ready, records)
         };
         results.set_floor(floor.0);
+        results.set_knows_floor(ready);
         results.set_version(version.0);
         record::write_list(&records, results.init_records(records.len() as u32));
-        self.control
-            .on_members(members::Event::Learned(vec![joining]));
+        self.control.on_members(members::Event::Learned(vec![joining]));
         Ok(())
     }
 
@@ -178,10 +172,7 @@
             .parse()
             .map_err(|e: goldcresttally_core::Error| Error::failed(e.to_string()))?;
         let update = update::read(params.get_update()?).map_err(|e| refused(&e))?;
-        self.control.on_distribution(Event::Pushed {
-            from,
-            update: Arc::new(update),
-        });
+        self.control.on_distribution(Event::Pushed { from, update: Arc::new(update) });
         Ok(())
     }
 
@@ -191,12 +182,7 @@
         mut results: control::FetchResults,
     ) -> Result<(), Error> {
         let known = Version(params.get()?.get_known());
-        let held = self
-            .control
-            .machines
-            .borrow()
-            .distribution
-            .update_since(known);
+        let held = self.control.machines.borrow().distribution.update_since(known);
         update::write(&held, results.get().init_update());
         Ok(())
     }
--- a/goldcresttallyd/src/control/spread.rs
+++ b/goldcresttallyd/src/control/spread.rs
@@ -16,10 +16,7 @@
     pub(super) fn on_distribution(self: &Rc<Self>, event: Event) {
         let mut actions = Vec::new();
         let now = self.now();
-        self.machines
-            .borrow_mut()
-            .distribution
-            .on_event(now, event, &mut actions);
+        self.machines.borrow_mut().distribution.on_event(now, event, &mut actions);
         for action in actions {
             self.perform_distribution(action);
         }
@@ -31,20 +28,14 @@
                 let control = Rc::clone(self);
                 self.tasks.spawn_local(async move { control.poll().await });
             }
-            Action::Fetch {
-                source,
-                manifest,
-                known,
-            } => {
+            Action::Fetch { source, manifest, known } => {
                 let control = Rc::clone(self);
-                self.tasks
-                    .spawn_local(async move { control.fetch(source, manifest, known).await });
+                self.tasks.spawn_local(async move { control.fetch(source, manifest, known).await });
             }
             Action::Install(bundle) => self.install(&bundle),
             Action::Push { to, update } => {
                 let control = Rc::clone(self);
-                self.tasks
-                    .spawn_local(async move { control.push(to, update).await });
+                self.tasks.spawn_local(async move { control.push(to, update).await });
             }
             Action::Ready(version) => {
                 self.peer.state().set_ready();
@@ -67,10 +58,7 @@
             // What is in force already is not put in force again.
             Ok(false) => self.on_distribution(Event::Refused(version)),
             Err(e) => {
-                emit(
-                    events::VERSION_REFUSED,
-                    format_args!("version {version}: {e}"),
-                );
+                emit(events::VERSION_REFUSED, format_args!("version {version}: {e}"));
                 *self.refusal.borrow_mut() = Some(Arc::from(e.to_string()));
                 self.on_distribution(Event::Refused(version));
             }
@@ -81,10 +69,7 @@
     fn tell_version(self: &Rc<Self>) {
         let (version, refused): (Version, Version) = {
             let machines = self.machines.borrow();
-            (
-                machines.distribution.version(),
-                machines.distribution.refused(),
-            )
+            (machines.distribution.version(), machines.distribution.refused())
         };
         self.on_members(members::Event::VersionChanged { version, refused });
     }
@@ -105,10 +90,7 @@
     async fn push(self: Rc<Self>, to: NodeId, update: Arc<VersionUpdate>) {
         let own = self.machines.borrow().membership.own().id;
         if let Err(e) = self.connections.push(to, own, &update).await {
-            emit(
-                events::PUSH_FAILED,
-                format_args!("version {} to {to}: {e}", update.version),
-            );
+            emit(events::PUSH_FAILED, format_args!("version {} to {to}: {e}", update.version));
             self.on_distribution(Event::PushFailed { to, update });
         }
     }
@@ -116,17 +98,12 @@
     async fn fetch(self: Rc<Self>, source: Source, manifest: Option<Digest>, known: Version) {
         let fetched = match source {
             Source::Platform => self.fetch_from_platform(manifest).await,
-            Source::Peer(from) => self
-                .connections
-                .fetch(from, known)
-                .await
-                .map_err(|e| e.to_string()),
+            Source::Peer(from) => {
+                self.connections.fetch(from, known).await.map_err(|e| e.to_string())
+            }
         };
         match fetched {
-            Ok(update) => self.on_distribution(Event::Fetched {
-                source,
-                update: Arc::new(update),
-            }),
+            Ok(update) => self.on_distribution(Event::Fetched { source, update: Arc::new(update) }),
             Err(e) => {
                 emit(events::FETCH_FAILED, format_args!("from {source:?}: {e}"));
                 self.on_distribution(Event::FetchFailed { source });
--- a/goldcresttallyd/src/control/view.rs
+++ b/goldcresttallyd/src/control/view.rs
@@ -18,16 +18,11 @@
         let (peers, records) = {
             let machines = self.machines.borrow();
             let members = machines.membership.members();
-            let records: Vec<Record> = members
-                .chain([machines.membership.own()])
-                .cloned()
-                .collect();
+            let records: Vec<Record> =
+                members.chain([machines.membership.own()]).cloned().collect();
             let own = machines.membership.own().id;
             let others = records.iter().filter(|r| r.id != own);
-            let peer = |r: &Record| distribution::Peer {
-                id: r.id,
-                domain: r.domain.clone(),
-            };
+            let peer = |r: &Record| distribution::Peer { id: r.id, domain: r.domain.clone() };
             (others.map(peer).collect(), records)
         };
         self.on_distribution(distribution::Event::Members(peers));
@@ -67,17 +62,12 @@
                     locality: locality(own, record),
                     slots: upstream.slots,
                     ready,
-                    since: known
-                        .filter(|e| e.ready)
-                        .map_or_else(|| self.now(), |e| e.since),
+                    since: known.filter(|e| e.ready).map_or_else(|| self.now(), |e| e.since),
                     observed: known.map(|e| Arc::clone(&e.observed)).unwrap_or_default(),
                 });
             }
         }
-        lists
-            .into_iter()
-            .map(|(service, list)| (service, Arc::from(list)))
-            .collect()
+        lists.into_iter().map(|(service, list)| (service, Arc::from(list))).collect()
     }
 
     /// Publishes the upstreams beside this node: to the gates at once, and to the members.
--- a/goldcresttallyd/src/logging.rs
+++ b/goldcresttallyd/src/logging.rs
@@ -19,20 +19,14 @@
         let file = file.map_err(|e| format!("log.file {path}: {e}"))?;
         Appender::builder().build("main", Box::new(file))
     } else {
-        let console = ConsoleAppender::builder()
-            .target(Target::Stderr)
-            .encoder(encoder());
+        let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder());
         Appender::builder().build("main", Box::new(console.build()))
     };
     let level: LevelFilter = settings.level.into();
     let config = Config::builder()
         .appender(appender)
         .logger(Logger::builder().build("goldcresttally", level))
-        .build(
-            Root::builder()
-                .appender("main")
-                .build(LevelFilter::Warn.min(level)),
-        );
+        .build(Root::builder().appender("main").build(LevelFilter::Warn.min(level)));
     let config = config.map_err(|e| e.to_string())?;
     log4rs::init_config(config).map_err(|e| e.to_string())?;
     Ok(())
--- a/goldcresttallyd/src/main.rs
+++ b/goldcresttallyd/src/main.rs
@@ -33,23 +33,16 @@
 
 fn run(args: &[String]) -> Result<ExitCode, String> {
     let options = options();
-    let matches = options
-        .parse(args)
-        .map_err(|e| format!("{e}; see --help"))?;
+    let matches = options.parse(args).map_err(|e| format!("{e}; see --help"))?;
     if matches.opt_present("help") {
-        print!(
-            "{}",
-            options.usage("Usage: goldcresttallyd --settings FILE [--check-settings]")
-        );
+        print!("{}", options.usage("Usage: goldcresttallyd --settings FILE [--check-settings]"));
         return Ok(ExitCode::SUCCESS);
     }
     if matches.opt_present("version") {
         println!("goldcresttallyd {}", env!("CARGO_PKG_VERSION"));
         return Ok(ExitCode::SUCCESS);
     }
-    let path = matches
-        .opt_str("settings")
-        .ok_or("--settings FILE is missing; see --help")?;
+    let path = matches.opt_str("settings").ok_or("--settings FILE is missing; see --help")?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
     let settings = Settings::parse(&text).map_err(|e| format!("{path}: {e}"))?;
     if matches.opt_present("check-settings") {
@@ -77,13 +70,9 @@
 async fn serve(settings: Settings) -> Result<ExitCode, String> {
     let mut after_generation = Generation(0);
     loop {
-        let deps = Deps {
-            after_generation,
-            ..Deps::default()
-        };
-        let node = Node::start(settings.clone(), deps)
-            .await
-            .map_err(|e| format!("cannot start: {e}"))?;
+        let deps = Deps { after_generation, ..Deps::default() };
+        let node =
+            Node::start(settings.clone(), deps).await.map_err(|e| format!("cannot start: {e}"))?;
         match run_until_end(node).await? {
             End::Stopped => return Ok(ExitCode::SUCCESS),
             End::Overrun => return Ok(ExitCode::FAILURE),
@@ -104,9 +93,5 @@
             return Ok(End::Superseded(seen));
         }
     }
-    Ok(if node.stop().await {
-        End::Stopped
-    } else {
-        End::Overrun
-    })
+    Ok(if node.stop().await { End::Stopped } else { End::Overrun })
 }
--- a/goldcresttallyd/src/metrics.rs
+++ b/goldcresttallyd/src/metrics.rs
@@ -36,11 +36,7 @@
 }
 
 fn connect(settings: &MetricsSettings) -> Result<StatsdClient, Box<dyn std::error::Error>> {
-    let local = if settings.statsd.is_ipv4() {
-        "0.0.0.0:0"
-    } else {
-        "[::]:0"
-    };
+    let local = if settings.statsd.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
     let socket = UdpSocket::bind(local)?;
     socket.set_nonblocking(true)?;
     let sink = UdpMetricSink::from(settings.statsd, socket)?;
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -75,11 +75,7 @@
         let id = settings.node.control;
         let generation = clock::wall_ms().max(deps.after_generation.next().0);
         let generation = Generation(generation);
-        let identity = Identity {
-            node: id,
-            peer: settings.node.peer,
-            generation,
-        };
+        let identity = Identity { node: id, peer: settings.node.peer, generation };
         let state = Arc::new(State::new(identity, Clock::start()));
         let tasks = TaskTracker::new();
         let transport = deps
@@ -128,10 +124,7 @@
             listeners: Vec::new(),
         };
         node.listen(Arc::new(entry), table).await?;
-        emit(
-            events::NODE_STARTED,
-            format_args!("{id} generation {generation}"),
-        );
+        emit(events::NODE_STARTED, format_args!("{id} generation {generation}"));
         Ok(node)
     }
 
@@ -149,20 +142,11 @@
             recorder: Arc::clone(&self.recorder),
         };
         let (tasks, stop) = (&self.tasks, &self.stop);
-        let serve = server::serve(
-            calls,
-            EntryService(entry),
-            self.stop_calls.clone(),
-            tasks.clone(),
-        );
+        let serve =
+            server::serve(calls, EntryService(entry), self.stop_calls.clone(), tasks.clone());
         self.call_listeners.push(tokio::spawn(serve));
         let peer = PeerService(Arc::clone(&self.peer));
-        self.listeners.push(tokio::spawn(server::serve(
-            peers,
-            peer,
-            stop.clone(),
-            tasks.clone(),
-        )));
+        self.listeners.push(tokio::spawn(server::serve(peers, peer, stop.clone(), tasks.clone())));
         let serve = operator::serve(operators, operator, stop.clone());
         self.listeners.push(tokio::spawn(serve));
         if let Some(metrics) = self.settings.metrics.clone() {
--- a/goldcresttallyd/src/node/stop.rs
+++ b/goldcresttallyd/src/node/stop.rs
@@ -18,10 +18,7 @@
     pub async fn stop(mut self) -> bool {
         let requests = self.settings.requests.clone();
         let deadline = Instant::now() + Duration::from_millis(requests.drain_ms);
-        emit(
-            events::NODE_LEAVING,
-            format_args!("{}", self.state.identity.node),
-        );
+        emit(events::NODE_LEAVING, format_args!("{}", self.state.identity.node));
         self.state.set_leaving();
         self.peer.drain();
         // A control thread that has ended has told the others already.
@@ -33,31 +30,21 @@
         // Attempts of other entries may still run here.
         let attempts_ended = self.attempts_end(deadline).await;
         if !(calls_ended && attempts_ended) {
-            emit(
-                events::DRAIN_OVERRUN,
-                format_args!("after {} ms", requests.drain_ms),
-            );
+            emit(events::DRAIN_OVERRUN, format_args!("after {} ms", requests.drain_ms));
         }
         self.close().await;
         calls_ended && attempts_ended
     }
 
-    /// Stops at once, as a crash would: tells nobody and cuts what is in flight.
+    /// Ends the control thread of a node whose runtime has been shut down, as a crash would.
     pub async fn kill(self) {
-        for listener in self.call_listeners.iter().chain(&self.listeners) {
-            listener.abort();
-        }
         self.control.stop().await;
     }
 
     async fn attempts_end(&self, deadline: Instant) -> bool {
         loop {
-            let running: usize = self
-                .peer
-                .loads()
-                .iter()
-                .map(|(_, _, l)| l.running + l.waiting)
-                .sum();
+            let running: usize =
+                self.peer.loads().iter().map(|(_, _, l)| l.running + l.waiting).sum();
             if running == 0 {
                 return true;
             }
--- a/goldcresttallyd/src/operator/auth.rs
+++ b/goldcresttallyd/src/operator/auth.rs
@@ -18,12 +18,7 @@
         };
         // Comparing digests, not tokens: the time it takes tells nothing about the token.
         let digest = Digest::of(token.trim().as_bytes());
-        let team = self
-            .settings
-            .teams
-            .iter()
-            .find(|(_, t)| t.token_sha256 == digest);
-        team.map(|(name, _)| name.clone())
-            .ok_or_else(|| refused("no team has this token"))
+        let team = self.settings.teams.iter().find(|(_, t)| t.token_sha256 == digest);
+        team.map(|(name, _)| name.clone()).ok_or_else(|| refused("no team has this token"))
     }
 }
--- a/goldcresttallyd/src/operator/fleet.rs
+++ b/goldcresttallyd/src/operator/fleet.rs
@@ -89,10 +89,9 @@
     match (state.is_leaving(), state.is_ready()) {
         (true, _) => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
         (false, true) => (StatusCode::OK, "ready\n"),
-        (false, false) => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no configuration that may be served\n",
-        ),
+        (false, false) => {
+            (StatusCode::SERVICE_UNAVAILABLE, "no configuration that may be served\n")
+        }
     }
 }
 
@@ -102,10 +101,7 @@
 
 fn counters(operator: &Operator) -> Value {
     let counters = operator.peer.state().counters.read();
-    counters
-        .into_iter()
-        .map(|(name, value)| (name.to_owned(), json!(value)))
-        .collect()
+    counters.into_iter().map(|(name, value)| (name.to_owned(), json!(value))).collect()
 }
 
 pub(super) async fn summary(State(operator): State<Shared>) -> Json<Summary> {
@@ -128,9 +124,9 @@
         None | Some("json") => Ok(Json(report).into_response()),
         Some("text") => Ok(typed("text/plain; charset=utf-8", report.to_text())),
         Some("html") => Ok(typed("text/html; charset=utf-8", report.to_html())),
-        Some(other) => Err(Problem::bad_request(format!(
-            "format `{other}`: expected json, text or html"
-        ))),
+        Some(other) => {
+            Err(Problem::bad_request(format!("format `{other}`: expected json, text or html")))
+        }
     }
 }
 
@@ -146,10 +142,8 @@
                 asks.push(ask_summary(client.clone(), record.operator));
             }
         }
-        let answers: Vec<_> = futures::stream::iter(asks)
-            .buffer_unordered(NODES_AT_ONCE)
-            .collect()
-            .await;
+        let answers: Vec<_> =
+            futures::stream::iter(asks).buffer_unordered(NODES_AT_ONCE).collect().await;
         let mut merged = self.recorder.summary();
         let mut nodes = 1;
         let mut missing = Vec::new();
@@ -164,17 +158,10 @@
         }
         missing.sort();
         let serving = self.peer.state().serving();
-        let objectives: Map<_, _> = serving
-            .snapshot
-            .services()
-            .map(|s| (s.name.clone(), s.objective.fraction()))
-            .collect();
+        let objectives: Map<_, _> =
+            serving.snapshot.services().map(|s| (s.name.clone(), s.objective.fraction())).collect();
         let report = BurnReport::new(serving.snapshot.version().0, &merged, &objectives);
-        Ok(BurnReport {
-            nodes,
-            missing,
-            ..report
-        })
+        Ok(BurnReport { nodes, missing, ..report })
     }
 }
 
@@ -185,15 +172,9 @@
     let exchange = async {
         let uri = format!("http://{address}/v1/summary").parse().ok()?;
         let response = client.get(uri).await.ok()?;
-        let body = Limited::new(response.into_body(), SUMMARY_LIMIT_BYTES)
-            .collect()
-            .await
-            .ok()?;
+        let body = Limited::new(response.into_body(), SUMMARY_LIMIT_BYTES).collect().await.ok()?;
         serde_json::from_slice(&body.to_bytes()).ok()
     };
     let limit = Duration::from_millis(SUMMARY_TIMEOUT_MS);
-    (
-        address,
-        tokio::time::timeout(limit, exchange).await.ok().flatten(),
-    )
+    (address, tokio::time::timeout(limit, exchange).await.ok().flatten())
 }
--- a/goldcresttallyd/src/operator/mod.rs
+++ b/goldcresttallyd/src/operator/mod.rs
@@ -59,16 +59,11 @@
 
 fn router(operator: Shared) -> Router {
     Router::new()
-        .route(
-            "/v1/upstreams",
-            post(upstreams::announce).delete(upstreams::withdraw),
-        )
+        .route("/v1/upstreams", post(upstreams::announce).delete(upstreams::withdraw))
         .route("/v1/sections", get(sections::list))
         .route(
             "/v1/sections/{name}",
-            get(sections::show)
-                .put(sections::write)
-                .delete(sections::remove),
+            get(sections::show).put(sections::write).delete(sections::remove),
         )
         .route("/v1/validate", post(versions::validate))
         .route("/v1/diff", get(versions::diff))
--- a/goldcresttallyd/src/operator/problem.rs
+++ b/goldcresttallyd/src/operator/problem.rs
@@ -17,10 +17,7 @@
 
 impl Problem {
     pub fn new(status: StatusCode, code: &str, message: impl Into<String>) -> Self {
-        Self {
-            status,
-            body: json!({ "code": code, "message": message.into() }),
-        }
+        Self { status, body: json!({ "code": code, "message": message.into() }) }
     }
 
     pub fn bad_request(message: impl Into<String>) -> Self {
@@ -68,10 +65,7 @@
 impl IntoResponse for Problem {
     fn into_response(self) -> Response {
         if self.status.is_client_error() {
-            emit(
-                events::OPERATOR_REFUSED,
-                format_args!("{} {}", self.status.as_u16(), self.body),
-            );
+            emit(events::OPERATOR_REFUSED, format_args!("{} {}", self.status.as_u16(), self.body));
         }
         (self.status, Json(json!({ "error": self.body }))).into_response()
     }
--- a/goldcresttallyd/src/operator/sections.rs
+++ b/goldcresttallyd/src/operator/sections.rs
@@ -47,15 +47,10 @@
     let Query(at) = at.map_err(|e| Problem::bad_request(e.body_text()))?;
     if let Some(version) = at.version {
         let body = operator.document.section_at(version, &name).await?;
-        return Ok(Json(
-            json!({ "name": name, "version": version, "body": body }),
-        ));
+        return Ok(Json(json!({ "name": name, "version": version, "body": body })));
     }
     let (info, body) = operator.document.draft(&name).await?;
-    Ok(Json(json!(DraftBody {
-        info,
-        body: body.as_ref().to_owned()
-    })))
+    Ok(Json(json!(DraftBody { info, body: body.as_ref().to_owned() })))
 }
 
 pub(super) async fn write(
@@ -70,14 +65,9 @@
     let Query(based_on) = based_on.map_err(|e| Problem::bad_request(e.body_text()))?;
     let body = body.map_err(|e| Problem::new(e.status(), "bad-body", e.body_text()))?;
     let operation = OperationId(fastrand::u128(..));
-    let written = operator
-        .document
-        .put_draft(operation, &team, &name, based_on.revision, &body)
-        .await?;
-    emit(
-        events::SECTION_WRITTEN,
-        format_args!("{name} by {team}, revision {}", written.revision),
-    );
+    let written =
+        operator.document.put_draft(operation, &team, &name, based_on.revision, &body).await?;
+    emit(events::SECTION_WRITTEN, format_args!("{name} by {team}, revision {}", written.revision));
     Ok(Json(written))
 }
 
@@ -91,18 +81,11 @@
     let name = section_name(&name)?;
     let Query(based_on) = based_on.map_err(|e| Problem::bad_request(e.body_text()))?;
     let operation = OperationId(fastrand::u128(..));
-    operator
-        .document
-        .remove_draft(operation, &team, &name, based_on.revision)
-        .await?;
-    emit(
-        events::SECTION_WRITTEN,
-        format_args!("{name} removed by {team}"),
-    );
+    operator.document.remove_draft(operation, &team, &name, based_on.revision).await?;
+    emit(events::SECTION_WRITTEN, format_args!("{name} removed by {team}"));
     Ok(StatusCode::NO_CONTENT)
 }
 
 fn section_name(text: &str) -> Result<SectionName, Problem> {
-    text.parse()
-        .map_err(|e: goldcresttally_core::Error| Problem::bad_request(e.to_string()))
+    text.parse().map_err(|e: goldcresttally_core::Error| Problem::bad_request(e.to_string()))
 }
--- a/goldcresttallyd/src/operator/upstreams.rs
+++ b/goldcresttallyd/src/operator/upstreams.rs
@@ -43,29 +43,15 @@
     operator.check_local(from.ip())?;
     let Json(body) = body.map_err(|e| Problem::bad_request(e.body_text()))?;
     if !(1..=SLOT_LIMIT).contains(&body.slots) {
-        return Err(Problem::bad_request(format!(
-            "slots must be from 1 to {SLOT_LIMIT}"
-        )));
+        return Err(Problem::bad_request(format!("slots must be from 1 to {SLOT_LIMIT}")));
     }
     let state = body
         .state
         .parse()
         .map_err(|e: goldcresttally_core::Error| Problem::bad_request(e.to_string()))?;
-    let Announced {
-        service,
-        address,
-        slots,
-        ..
-    } = body;
-    let announcement = Announcement {
-        service,
-        address,
-        slots,
-        state,
-    };
-    operator
-        .ask(|reply| Command::Announce(announcement, reply))
-        .await?;
+    let Announced { service, address, slots, .. } = body;
+    let announcement = Announcement { service, address, slots, state };
+    operator.ask(|reply| Command::Announce(announcement, reply)).await?;
     Ok(Json(json!({ "lease_ms": LEASE_MS })))
 }
 
@@ -76,17 +62,11 @@
 ) -> Result<StatusCode, Problem> {
     operator.check_local(from.ip())?;
     let Json(body) = body.map_err(|e| Problem::bad_request(e.body_text()))?;
-    let known = operator
-        .ask(|reply| Command::Withdraw(body.service, body.address, reply))
-        .await?;
+    let known = operator.ask(|reply| Command::Withdraw(body.service, body.address, reply)).await?;
     if known {
         return Ok(StatusCode::NO_CONTENT);
     }
-    Err(Problem::new(
-        StatusCode::NOT_FOUND,
-        "not-found",
-        "no such upstream",
-    ))
+    Err(Problem::new(StatusCode::NOT_FOUND, "not-found", "no such upstream"))
 }
 
 impl Operator {
--- a/goldcresttallyd/src/operator/versions.rs
+++ b/goldcresttallyd/src/operator/versions.rs
@@ -1,12 +1,15 @@
 //! Validating, comparing and accepting the document, and watching a version take hold.
 
+use std::sync::Arc;
+
 use axum::Json;
 use axum::extract::rejection::QueryRejection;
 use axum::extract::{Query, State};
 use axum::http::HeaderMap;
 use goldcresttally_config::{Manifest, SectionEntry};
 use goldcresttally_core::{OperationId, Version};
-use goldcresttally_platform::{Accepted, HistoryEntry};
+use goldcresttally_distribution::{ChangedSection, VersionUpdate};
+use goldcresttally_platform::{Accepted, Content, HistoryEntry};
 use goldcresttally_proxy::clock::wall_ms;
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -82,34 +85,34 @@
 ) -> Result<Json<Accepted>, Problem> {
     let team = operator.team(&headers)?;
     let Query(asked) = asked.map_err(|e| Problem::bad_request(e.body_text()))?;
-    let operation = asked
-        .operation
-        .unwrap_or_else(|| OperationId(fastrand::u128(..)));
-    let accepted = operator
-        .document
-        .accept(operation, &team, wall_ms())
-        .await?;
-    emit(
-        events::VERSION_ACCEPTED,
-        format_args!("version {} by {team}", accepted.version),
-    );
-    // The pollers would find it too; this node need not wait for them.
-    let command = Command::Accepted(accepted.version, accepted.manifest);
-    let _ = operator.commands.send(command).await;
+    let operation = asked.operation.unwrap_or_else(|| OperationId(fastrand::u128(..)));
+    let (accepted, content) = operator.document.accept(operation, &team, wall_ms()).await?;
+    emit(events::VERSION_ACCEPTED, format_args!("version {} by {team}", accepted.version));
+    // The pollers would find it too; this node need not wait for them, nor read it back.
+    if let Some(content) = content {
+        let update = Arc::new(complete_update(&accepted, content));
+        let _ = operator.commands.send(Command::Accepted(update)).await;
+    }
     Ok(Json(accepted))
 }
 
+fn complete_update(accepted: &Accepted, content: Content) -> VersionUpdate {
+    let section = |(name, body)| ChangedSection { name, body };
+    VersionUpdate {
+        version: accepted.version,
+        base: Version(0),
+        manifest: accepted.manifest,
+        changed: content.into_iter().map(section).collect(),
+        removed: Vec::new(),
+    }
+}
+
 pub(super) async fn history(
     State(operator): State<Shared>,
     asked: Asked<Limit>,
 ) -> Result<Json<Vec<HistoryEntry>>, Problem> {
     let Query(asked) = asked.map_err(|e| Problem::bad_request(e.body_text()))?;
-    Ok(Json(
-        operator
-            .document
-            .history(asked.limit.unwrap_or(HISTORY_DEFAULT))
-            .await?,
-    ))
+    Ok(Json(operator.document.history(asked.limit.unwrap_or(HISTORY_DEFAULT)).await?))
 }
 
 pub(super) async fn rollout(
@@ -121,9 +124,5 @@
         Some(version) => version,
         None => operator.document.head().await?.version,
     };
-    Ok(Json(
-        operator
-            .ask(|reply| Command::Rollout(version, reply))
-            .await?,
-    ))
+    Ok(Json(operator.ask(|reply| Command::Rollout(version, reply)).await?))
 }
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -14,37 +14,17 @@
     pub(super) fn check(&self) -> Result<(), Fault> {
         self.check_addresses()?;
         let d = &self.distribution;
-        in_range(
-            "distribution.poll_interval_ms",
-            d.poll_interval_ms,
-            100,
-            60_000,
-        )?;
+        in_range("distribution.poll_interval_ms", d.poll_interval_ms, 100, 60_000)?;
         in_range("distribution.pollers", d.pollers as u64, 1, 16)?;
         in_range("distribution.fanout", d.fanout as u64, 1, 64)?;
         in_range("distribution.fleet_size", d.fleet_size.into(), 1, 1_000_000)?;
-        in_range(
-            "distribution.reads_per_second",
-            d.reads_per_second.into(),
-            1,
-            100_000,
-        )?;
+        in_range("distribution.reads_per_second", d.reads_per_second.into(), 1, 100_000)?;
         if let Err(e) = d.mode.parse::<distribution::Mode>() {
             return fault("distribution.mode", e.to_string());
         }
         let m = &self.membership;
-        in_range(
-            "membership.probe_interval_ms",
-            m.probe_interval_ms,
-            100,
-            60_000,
-        )?;
-        in_range(
-            "membership.probe_timeout_ms",
-            m.probe_timeout_ms,
-            10,
-            m.probe_interval_ms,
-        )?;
+        in_range("membership.probe_interval_ms", m.probe_interval_ms, 100, 60_000)?;
+        in_range("membership.probe_timeout_ms", m.probe_timeout_ms, 10, m.probe_interval_ms)?;
         in_range("membership.suspicion_ms", m.suspicion_ms, 100, 600_000)?;
         let r = &self.requests;
         in_range("requests.leave_notice_ms", r.leave_notice_ms, 0, 60_000)?;
--- a/goldcresttallyd/src/settings/mod.rs
+++ b/goldcresttallyd/src/settings/mod.rs
@@ -43,11 +43,7 @@
         let settings: Self = serde_path_to_error::deserialize(reader).map_err(|e| {
             let key = e.path().to_string();
             let cause = e.into_inner();
-            Error {
-                key,
-                line: cause.location().map(|l| l.line()),
-                message: cause.to_string(),
-            }
+            Error { key, line: cause.location().map(|l| l.line()), message: cause.to_string() }
         })?;
         settings.check().map_err(|(key, message)| {
             let line = goldcresttally_config::parse::line_of(text, &key);
--- a/tally-lab/src/documents.rs
+++ b/tally-lab/src/documents.rs
@@ -33,9 +33,5 @@
 
 /// Writes a section of a service that only changes its limit, for rollouts that do no harm.
 pub fn filler(name: &str, change: usize) -> String {
-    format!(
-        "services:\n  {name}: {{queue: {}}}\n# {}\n",
-        10 + change % 1000,
-        "x".repeat(1500)
-    )
+    format!("services:\n  {name}: {{queue: {}}}\n# {}\n", 10 + change % 1000, "x".repeat(1500))
 }
--- a/tally-lab/src/experiments/demo.rs
+++ b/tally-lab/src/experiments/demo.rs
@@ -30,25 +30,16 @@
         Place::new(1, "no-east-1", "no-east"),
         Place::new(2, "no-east-2", "no-east"),
     ];
-    let mut fleet = Fleet::start(FleetOptions::default(), places, seed)
-        .await
-        .map_err(|e| e.to_string())?;
+    let mut fleet =
+        Fleet::start(FleetOptions::default(), places, seed).await.map_err(|e| e.to_string())?;
     say("a platform stand-in and three nodes in two failure domains are up");
     let record = Arc::new(Record::default());
     for i in 0..3 {
-        let behaviour = Behaviour {
-            slots: 12,
-            ..Behaviour::default()
-        };
-        fleet
-            .start_upstream(i, "booking", behaviour, &record)
-            .await
-            .map_err(|e| e.to_string())?;
+        let behaviour = Behaviour { slots: 12, ..Behaviour::default() };
+        fleet.start_upstream(i, "booking", behaviour, &record).await.map_err(|e| e.to_string())?;
     }
     fleet.put_section(0, "ranks", &documents::ranks()).await?;
-    fleet
-        .put_section(1, "booking", &documents::service("booking", 3000, 64))
-        .await?;
+    fleet.put_section(1, "booking", &documents::service("booking", 3000, 64)).await?;
     say("two sections are written");
     let version = fleet.accept(2).await?;
     let accepted = Instant::now();
@@ -75,10 +66,7 @@
     if bad.is_err() || refused.is_ok() {
         return Err("a route to a service that there is not was accepted".to_owned());
     }
-    say(&format!(
-        "a bad document is refused whole: {}",
-        refused.err().unwrap_or_default()
-    ));
+    say(&format!("a bad document is refused whole: {}", refused.err().unwrap_or_default()));
 
     let entries: Vec<_> = fleet.vms.iter().map(|vm| vm.place.calls()).collect();
     let load = tokio::spawn(call_all(entries));
@@ -96,10 +84,7 @@
     let tally = load.await.map_err(|e| e.to_string())?;
     let violations = tally.violations(&record);
     let answered = tally.answered();
-    say(&format!(
-        "{answered} of {} calls were answered; {violations:?}",
-        tally.offered()
-    ));
+    say(&format!("{answered} of {} calls were answered; {violations:?}", tally.offered()));
     let ok = cleanly && violations.none() && tally.broken() == 0 && answered == tally.offered();
     let mut figures = json!({
         "experiment": "demo",
@@ -145,14 +130,7 @@
             eprintln!("          {} to {}: {outcome:?}", spec.id, spec.path);
         }
         let once = !spec.path.ends_with("read");
-        tally.add(
-            rank,
-            &spec.id,
-            once,
-            outcome,
-            latency,
-            Duration::from_secs(1),
-        );
+        tally.add(rank, &spec.id, once, outcome, latency, Duration::from_secs(1));
     }
     tally
 }
--- a/tally-lab/src/experiments/mod.rs
+++ b/tally-lab/src/experiments/mod.rs
@@ -1,3 +1,4 @@
 //! The experiments.
 
+pub mod converge;
 pub mod demo;
--- a/tally-lab/src/fleet/mod.rs
+++ b/tally-lab/src/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! Nodes on loopback addresses of their own, over a network that can be cut.
 
+mod life;
+mod monitor;
 mod network;
 mod place;
 
@@ -13,10 +15,12 @@
 use goldcresttally_proxy::entry::Options;
 use goldcresttally_standin::upstream::{Announce, Behaviour, Record};
 use goldcresttally_standin::{Platform, Upstream};
-use goldcresttallyd::{Deps, Node, Settings};
+use goldcresttallyd::{Deps, Settings};
 use http::Method;
 use serde_json::Value;
 
+pub use life::Life;
+pub use monitor::Monitor;
 pub use network::Network;
 pub use place::Place;
 
@@ -62,7 +66,7 @@
     /// Its addresses and failure domain.
     pub place: Place,
     /// The node.
-    pub node: Option<Node>,
+    pub node: Option<Life>,
     /// The upstream.
     pub upstream: Option<Upstream>,
     last_generation: Generation,
@@ -85,20 +89,10 @@
     /// Starts a platform and one node in each place.
     pub async fn start(options: FleetOptions, places: Vec<Place>, seed: u64) -> io::Result<Self> {
         let platform = Platform::start(place::platform_address()).await?;
-        let empty = |place| Vm {
-            place,
-            node: None,
-            upstream: None,
-            last_generation: Generation(0),
-        };
+        let empty =
+            |place| Vm { place, node: None, upstream: None, last_generation: Generation(0) };
         let vms = places.into_iter().map(empty).collect();
-        let mut fleet = Self {
-            platform,
-            network: Arc::default(),
-            vms,
-            options,
-            seed,
-        };
+        let mut fleet = Self { platform, network: Arc::default(), vms, options, seed };
         for i in 0..fleet.vms.len() {
             fleet.start_node(i).await?;
         }
@@ -116,22 +110,15 @@
             seed: self.seed.wrapping_mul(1000) + i as u64,
             after_generation: vm.last_generation,
         };
-        let node = Node::start(settings, deps).await?;
+        let node = Life::start(settings, deps).await?;
         vm.last_generation = node.state().identity.generation;
         vm.node = Some(node);
         Ok(())
     }
 
     fn settings(&self, i: usize) -> io::Result<Settings> {
-        let seeds: Vec<_> = self
-            .vms
-            .iter()
-            .take(3)
-            .map(|vm| vm.place.control())
-            .collect();
-        let text = self.vms[i]
-            .place
-            .settings(self.platform.address(), &seeds, &self.options);
+        let seeds: Vec<_> = self.vms.iter().take(3).map(|vm| vm.place.control()).collect();
+        let text = self.vms[i].place.settings(self.platform.address(), &seeds, &self.options);
         Settings::parse(&text).map_err(io::Error::other)
     }
 
@@ -144,10 +131,7 @@
         record: &Arc<Record>,
     ) -> io::Result<()> {
         let vm = &mut self.vms[i];
-        let announce = Announce {
-            node: vm.place.operator(),
-            service: service.to_owned(),
-        };
+        let announce = Announce { node: vm.place.operator(), service: service.to_owned() };
         let record = Arc::clone(record);
         let started = Upstream::start(vm.place.upstream(), behaviour, Some(announce), record).await;
         vm.upstream = Some(started?);
@@ -183,10 +167,7 @@
         let held = client.json(Method::GET, &path, String::new()).await;
         let revision = held.ok().and_then(|d| d["revision"].as_u64()).unwrap_or(0);
         let path = format!("{path}?revision={revision}");
-        client
-            .json(Method::PUT, &path, text.to_owned())
-            .await
-            .map_err(|e| e.to_string())
+        client.json(Method::PUT, &path, text.to_owned()).await.map_err(|e| e.to_string())
     }
 
     /// Accepts the drafts through the node of a VM; returns the version.
@@ -237,10 +218,7 @@
         let seen = |f: &Self| {
             f.vms.iter().filter_map(|vm| vm.node.as_ref()).all(|node| {
                 let endpoints = node.state().endpoints();
-                endpoints
-                    .get(&name)
-                    .map_or(0, |e| e.iter().filter(|e| e.ready).count())
-                    == count
+                endpoints.get(&name).map_or(0, |e| e.iter().filter(|e| e.ready).count()) == count
             })
         };
         self.wait(limit, seen).await
@@ -252,6 +230,7 @@
             if let Some(upstream) = vm.upstream {
                 upstream.stop().await;
             }
+            self.network.cut_off(vm.place.ip());
             if let Some(node) = vm.node {
                 node.kill().await;
             }
--- a/tally-lab/src/fleet/network.rs
+++ b/tally-lab/src/fleet/network.rs
@@ -39,10 +39,7 @@
 impl Network {
     /// Returns the border to this network for the node at `local`.
     pub fn transport(self: &Arc<Self>, local: IpAddr) -> Arc<dyn Transport> {
-        Arc::new(LabTransport {
-            network: Arc::clone(self),
-            local,
-        })
+        Arc::new(LabTransport { network: Arc::clone(self), local })
     }
 
     /// Cuts the network into `groups` that cannot reach each other.
@@ -92,12 +89,7 @@
             return true;
         }
         let cuts = self.cuts.read().unwrap_or_else(PoisonError::into_inner);
-        let group = |ip| {
-            cuts.group_of
-                .iter()
-                .find(|(i, _)| *i == ip)
-                .map(|(_, g)| *g)
-        };
+        let group = |ip| cuts.group_of.iter().find(|(i, _)| *i == ip).map(|(_, g)| *g);
         let off = cuts.off.contains(&from) || cuts.off.contains(&to);
         !off && (cuts.group_of.is_empty() || group(from) == group(to))
     }
@@ -126,13 +118,7 @@
             }
             let epoch = network.epoch.load(Ordering::Relaxed);
             let stream = TcpTransport::new(Some(local)).dial(to).await?;
-            let stall = Stall {
-                network,
-                local,
-                remote: to.ip(),
-                epoch,
-                timer: None,
-            };
+            let stall = Stall { network, local, remote: to.ip(), epoch, timer: None };
             Ok(Box::new(LabStream { stream, stall }) as Box<dyn Connection>)
         })
     }
--- a/tally-lab/src/fleet/place.rs
+++ b/tally-lab/src/fleet/place.rs
@@ -39,18 +39,12 @@
     /// Returns the place of VM `i`.
     pub fn new(i: usize, domain: &str, region: &str) -> Self {
         let ip = Ipv4Addr::new(127, net(), (i / BLOCK) as u8, (i % BLOCK + 1) as u8);
-        Self {
-            ip: IpAddr::V4(ip),
-            domain: domain.to_owned(),
-            region: region.to_owned(),
-        }
+        Self { ip: IpAddr::V4(ip), domain: domain.to_owned(), region: region.to_owned() }
     }
 
     /// Spreads `count` VMs over `domains` failure domains in turn.
     pub fn spread(count: usize, domains: usize) -> Vec<Self> {
-        (0..count)
-            .map(|i| Self::new(i, &format!("d{}", i % domains), "r1"))
-            .collect()
+        (0..count).map(|i| Self::new(i, &format!("d{}", i % domains), "r1")).collect()
     }
 
     /// Returns the VM's IP number.
--- a/tally-lab/src/load/caller.rs
+++ b/tally-lab/src/load/caller.rs
@@ -86,10 +86,7 @@
         let Ok(body) = body.collect().await else {
             return Outcome::Cut;
         };
-        let verdict = parts
-            .headers
-            .get("tally-verdict")
-            .and_then(|v| v.to_str().ok());
+        let verdict = parts.headers.get("tally-verdict").and_then(|v| v.to_str().ok());
         match verdict.and_then(|v| v.parse().ok()) {
             Some(Verdict::NotRun) => Outcome::NotRun,
             Some(Verdict::MayHaveRun) => Outcome::MayHaveRun,
--- a/tally-lab/src/load/tally.rs
+++ b/tally-lab/src/load/tally.rs
@@ -131,17 +131,11 @@
         latency: Duration,
         target: Duration,
     ) {
-        let tally = self
-            .ranks
-            .entry(rank.to_owned())
-            .or_insert_with(RankTally::new);
+        let tally = self.ranks.entry(rank.to_owned()).or_insert_with(RankTally::new);
         tally.add(outcome, latency, target);
         self.may_have_run += u64::from(outcome == Outcome::MayHaveRun);
         self.broken += u64::from(outcome == Outcome::Broken);
-        self.ended
-            .entry(id.to_owned())
-            .or_default()
-            .push(Ended { once, outcome });
+        self.ended.entry(id.to_owned()).or_default().push(Ended { once, outcome });
     }
 
     /// Returns the counts of a rank.
@@ -190,14 +184,7 @@
         let latency_us = Histogram::new_with_bounds(1, 120_000_000, 3);
         // The bounds are constants that the library accepts.
         let latency_us = latency_us.unwrap_or_else(|_| unreachable!("valid histogram bounds"));
-        Self {
-            offered: 0,
-            answered: 0,
-            on_time: 0,
-            refused: 0,
-            failed: 0,
-            latency_us,
-        }
+        Self { offered: 0, answered: 0, on_time: 0, refused: 0, failed: 0, latency_us }
     }
 
     fn add(&mut self, outcome: Outcome, latency: Duration, target: Duration) {
@@ -206,8 +193,7 @@
             Outcome::Answered => {
                 self.answered += 1;
                 self.on_time += u64::from(latency <= target);
-                self.latency_us
-                    .saturating_record(latency.as_micros() as u64);
+                self.latency_us.saturating_record(latency.as_micros() as u64);
             }
             Outcome::NotRun => self.refused += 1,
             _ => self.failed += 1,
--- a/tally-lab/src/main.rs
+++ b/tally-lab/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use getopts::Options;
-use tally_lab::experiments::demo;
+use tally_lab::experiments::{converge, demo};
 use tally_lab::output::Report;
 
 /// Exit code for a wrong command line.
@@ -21,17 +21,13 @@
         }
     };
     if matches.opt_present("help") || matches.free.is_empty() {
-        print!("{}", options.usage("Usage: tally-lab demo [OPTIONS]"));
+        print!("{}", options.usage("Usage: tally-lab demo|converge [OPTIONS]"));
         return ExitCode::SUCCESS;
     }
     match run(&matches).await {
         Ok(report) => {
             report.print();
-            if report.ok {
-                ExitCode::SUCCESS
-            } else {
-                ExitCode::FAILURE
-            }
+            if report.ok { ExitCode::SUCCESS } else { ExitCode::FAILURE }
         }
         Err(message) => {
             eprintln!("tally-lab: {message}");
@@ -43,16 +39,43 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "seed", "seed of random choices (1)", "N");
+    options.optopt("n", "nodes", "converge: nodes (25)", "N");
+    options.optopt("c", "changes", "converge: accepted changes (10)", "N");
+    options.optopt(
+        "f",
+        "fault",
+        "converge: none, store-outage, lost-answer, partition, herd, loss, silence or race (none)",
+        "FAULT",
+    );
+    options.optopt("m", "mode", "converge: tree, gossip or poll (tree)", "MODE");
+    options.optopt("", "pause-ms", "converge: time between changes (1000)", "MS");
     options.optflag("h", "help", "print this help and exit");
     options
 }
 
+fn get<T>(matches: &getopts::Matches, name: &str, default: T) -> Result<T, String>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    matches.opt_get_default(name, default).map_err(|e| format!("--{name}: {e}"))
+}
+
 async fn run(matches: &getopts::Matches) -> Result<Report, String> {
-    let seed = matches
-        .opt_get_default("seed", 1u64)
-        .map_err(|e| e.to_string())?;
+    let seed = matches.opt_get_default("seed", 1u64).map_err(|e| e.to_string())?;
     match matches.free[0].as_str() {
         "demo" => demo::run(seed).await,
+        "converge" => {
+            let options = converge::Options {
+                nodes: get(matches, "nodes", 25)?,
+                changes: get(matches, "changes", 10)?,
+                fault: get(matches, "fault", converge::Fault::None)?,
+                mode: get(matches, "mode", "tree".to_owned())?,
+                pause_ms: get(matches, "pause-ms", 1000)?,
+                seed,
+            };
+            converge::run(options).await
+        }
         other => Err(format!("`{other}`: no such experiment")),
     }
 }
