--- a/goldcresttally-standin/src/upstream/handle.rs
+++ b/goldcresttally-standin/src/upstream/handle.rs
@@ -51,7 +51,11 @@
     let call = text(&headers, "x-call-id");
     shared.record.start(&call);
     let mut running = Running { record: &shared.record, ended: false };
-    tokio::time::sleep(service_time(&headers, &behaviour)).await;
+    let service_time = service_time(&headers, &behaviour);
+    // Even the shortest sleep takes a millisecond.
+    if !service_time.is_zero() {
+        tokio::time::sleep(service_time).await;
+    }
     if behaviour.mute {
         std::future::pending::<()>().await;
     }
--- /dev/null
+++ b/tally-lab/src/experiments/hop.rs
@@ -0,0 +1,195 @@
+//! The latency that the way through two nodes adds to a direct call, and calls per core.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use goldcresttally_standin::upstream::{Behaviour, Record};
+use hdrhistogram::Histogram;
+use http::Method;
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::documents;
+use crate::fleet::{Fleet, FleetOptions, NODE_THREAD, Place};
+use crate::load::{Caller, Outcome, Spec};
+use crate::output::{Report, rounded};
+
+/// Rates at which calls go through one entry node, per second.
+const RATES: [u64; 3] = [50, 500, 2000];
+
+/// Latency that may be added for 99 in 100 calls, in milliseconds.
+const ADDED_BOUND_MS: f64 = 0.5;
+
+/// Callers that saturate one entry node.
+const SATURATING_CALLERS: usize = 128;
+
+/// Time for which nodes are saturated, in seconds.
+const SATURATED_S: u64 = 4;
+
+/// Choices of the experiment.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Time at each rate, in seconds.
+    pub seconds: u64,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// Latencies of calls made both ways.
+struct Pair {
+    direct: Histogram<u64>,
+    through: Histogram<u64>,
+    failed: u64,
+}
+
+/// Runs the experiment.
+pub async fn run(options: Options) -> Result<Report, String> {
+    let record = Arc::new(Record::default());
+    let places = vec![Place::new(0, "d0", "r1"), Place::new(1, "d0", "r1")];
+    let fleet = Fleet::start(FleetOptions::default(), places, options.seed).await;
+    let mut fleet = fleet.map_err(|e| e.to_string())?;
+    let behaviour = Behaviour { slots: 4096, service_ms: 0.0, ..Behaviour::default() };
+    let started = fleet.start_upstream(1, "echo", behaviour, &record).await;
+    started.map_err(|e| e.to_string())?;
+    fleet.put_section(0, "ranks", &documents::ranks()).await?;
+    fleet.put_section(0, "echo", &documents::service("echo", 3000, 4096)).await?;
+    let version = fleet.accept(0).await?;
+    let limit = Duration::from_secs(10);
+    if !(fleet.wait_version(version, limit).await && fleet.wait_endpoints("echo", 1, limit).await) {
+        return Err("the fleet did not come up".to_owned());
+    }
+    let (entry, upstream) = (fleet.vms[0].place.calls(), fleet.vms[1].place.upstream());
+    let mut rows = Vec::new();
+    let mut ok = true;
+    for rate in RATES {
+        let pair = measure(entry, upstream, rate, options.seconds).await;
+        let row = pair.figures(rate);
+        ok &= pair.failed == 0 && pair.added_ms(0.99) <= ADDED_BOUND_MS;
+        rows.push(row);
+    }
+    let saturated = saturate(entry).await;
+    let figures = json!({
+        "experiment": "hop",
+        "seed": options.seed,
+        "rates": rows,
+        "saturated": saturated,
+    });
+    fleet.shut_down().await;
+    Ok(Report { ok, figures })
+}
+
+/// Makes direct calls and calls through two nodes in turn, each way at `rate`.
+async fn measure(entry: SocketAddr, upstream: SocketAddr, rate: u64, seconds: u64) -> Pair {
+    let mut pair = Pair { direct: histogram(), through: histogram(), failed: 0 };
+    let caller = Caller::default();
+    let mut calls = JoinSet::new();
+    let mut ticks = tokio::time::interval(Duration::from_secs_f64(0.5 / rate as f64));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Burst);
+    for n in 0..rate * seconds * 2 {
+        ticks.tick().await;
+        let through = n % 2 == 0;
+        let (caller, to) = (caller.clone(), if through { entry } else { upstream });
+        calls.spawn(async move {
+            let spec = Spec {
+                id: format!("hop-{rate}-{n}"),
+                path: "/echo/urgent/read".to_owned(),
+                method: Method::GET,
+                body: Bytes::new(),
+                ..Spec::default()
+            };
+            (through, caller.call(to, &spec).await)
+        });
+        while let Some(Ok(ended)) = calls.try_join_next() {
+            pair.add(ended);
+        }
+    }
+    while let Some(Ok(ended)) = calls.join_next().await {
+        pair.add(ended);
+    }
+    pair
+}
+
+impl Pair {
+    fn add(&mut self, (through, (outcome, latency)): (bool, (Outcome, Duration))) {
+        self.failed += u64::from(outcome != Outcome::Answered);
+        let histogram = if through { &mut self.through } else { &mut self.direct };
+        histogram.saturating_record(latency.as_nanos() as u64 / 100);
+    }
+
+    fn added_ms(&self, q: f64) -> f64 {
+        let ms = |h: &Histogram<u64>| h.value_at_quantile(q) as f64 / 10_000.0;
+        ms(&self.through) - ms(&self.direct)
+    }
+
+    fn figures(&self, rate: u64) -> Value {
+        let ms = |h: &Histogram<u64>, q| rounded(h.value_at_quantile(q) as f64 / 10_000.0);
+        json!({
+            "calls_per_s": rate,
+            "direct_p50_ms": ms(&self.direct, 0.5),
+            "direct_p99_ms": ms(&self.direct, 0.99),
+            "through_p50_ms": ms(&self.through, 0.5),
+            "through_p99_ms": ms(&self.through, 0.99),
+            "added_p50_ms": rounded(self.added_ms(0.5)),
+            "added_p99_ms": rounded(self.added_ms(0.99)),
+            "failed": self.failed,
+        })
+    }
+}
+
+/// Lets callers call one after another, and counts calls by the processor time of both nodes.
+async fn saturate(entry: SocketAddr) -> Value {
+    let deadline = Instant::now() + Duration::from_secs(SATURATED_S);
+    let (cpu_before, started) = (node_cpu_s(), Instant::now());
+    let mut callers = JoinSet::new();
+    for c in 0..SATURATING_CALLERS {
+        callers.spawn(async move {
+            let caller = Caller::default();
+            let mut answered = 0u64;
+            while Instant::now() < deadline {
+                let spec = Spec {
+                    id: format!("saturate-{c}-{answered}"),
+                    path: "/echo/urgent/read".to_owned(),
+                    method: Method::GET,
+                    ..Spec::default()
+                };
+                let (outcome, _) = caller.call(entry, &spec).await;
+                answered += u64::from(outcome == Outcome::Answered);
+            }
+            answered
+        });
+    }
+    let mut answered = 0;
+    while let Some(Ok(count)) = callers.join_next().await {
+        answered += count;
+    }
+    let cpu = node_cpu_s() - cpu_before;
+    let rate = answered as f64 / started.elapsed().as_secs_f64();
+    json!({
+        "calls_per_s": rounded(rate),
+        "node_cores": rounded(cpu / started.elapsed().as_secs_f64()),
+        "calls_per_core_s": rounded(answered as f64 / cpu.max(1e-9)),
+    })
+}
+
+/// Returns the processor time of all threads that serve nodes' calls, in seconds.
+fn node_cpu_s() -> f64 {
+    let Ok(tasks) = std::fs::read_dir("/proc/self/task") else { return 0.0 };
+    let mut total_ns = 0;
+    for task in tasks.flatten() {
+        let read = |name| std::fs::read_to_string(task.path().join(name)).unwrap_or_default();
+        if read("comm").trim() == NODE_THREAD {
+            let text = read("schedstat");
+            total_ns += text.split_whitespace().next().and_then(|n| n.parse().ok()).unwrap_or(0u64);
+        }
+    }
+    total_ns as f64 / 1e9
+}
+
+fn histogram() -> Histogram<u64> {
+    let histogram = Histogram::new_with_bounds(1, 600_000_000, 3);
+    // The bounds are constants that the library accepts.
+    histogram.unwrap_or_else(|_| unreachable!("valid histogram bounds"))
+}
--- a/tally-lab/src/experiments/mod.rs
+++ b/tally-lab/src/experiments/mod.rs
@@ -2,3 +2,6 @@
 
 pub mod converge;
 pub mod demo;
+pub mod faults;
+pub mod flood;
+pub mod hop;
--- a/tally-lab/src/fleet/life.rs
+++ b/tally-lab/src/fleet/life.rs
@@ -7,6 +7,9 @@
 use goldcresttallyd::{Deps, Node, Settings};
 use tokio::runtime::{Builder, Runtime};
 
+/// Name of the threads that serve a node's calls.
+pub const NODE_THREAD: &str = "node";
+
 /// Time that a runtime's threads have to end, in seconds.
 const SHUTDOWN_LIMIT_S: u64 = 2;
 
@@ -21,7 +24,11 @@
     /// Starts a node.
     pub async fn start(settings: Settings, deps: Deps) -> io::Result<Self> {
         let threads = settings.node.threads;
-        let runtime = Builder::new_multi_thread().worker_threads(threads).enable_all().build()?;
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(threads)
+            .thread_name(NODE_THREAD)
+            .enable_all()
+            .build()?;
         let started = runtime.spawn(Node::start(settings, deps)).await;
         let mut life = Self { node: None, runtime: Some(runtime) };
         life.node = Some(started.map_err(io::Error::other)??);
--- a/tally-lab/src/fleet/mod.rs
+++ b/tally-lab/src/fleet/mod.rs
@@ -19,7 +19,7 @@
 use http::Method;
 use serde_json::Value;
 
-pub use life::Life;
+pub use life::{Life, NODE_THREAD};
 pub use monitor::Monitor;
 pub use network::Network;
 pub use place::Place;
--- a/tally-lab/src/main.rs
+++ b/tally-lab/src/main.rs
@@ -3,7 +3,8 @@
 use std::process::ExitCode;
 
 use getopts::Options;
-use tally_lab::experiments::{converge, demo};
+use goldcresttally_admission::Policy;
+use tally_lab::experiments::{converge, demo, faults, flood, hop};
 use tally_lab::output::Report;
 
 /// Exit code for a wrong command line.
@@ -21,7 +22,7 @@
         }
     };
     if matches.opt_present("help") || matches.free.is_empty() {
-        print!("{}", options.usage("Usage: tally-lab demo|converge [OPTIONS]"));
+        print!("{}", options.usage("Usage: tally-lab demo|converge|flood|hop|faults [OPTIONS]"));
         return ExitCode::SUCCESS;
     }
     match run(&matches).await {
@@ -49,6 +50,16 @@
     );
     options.optopt("m", "mode", "converge: tree, gossip or poll (tree)", "MODE");
     options.optopt("", "pause-ms", "converge: time between changes (1000)", "MS");
+    options.optopt("", "site", "flood: fjordleik or agency (fjordleik)", "SITE");
+    options.optopt("p", "policy", "flood: fifo, strict or ranked (ranked)", "POLICY");
+    options.optopt("", "flood", "flood: urgent, least or least-then-urgent (least)", "RANK");
+    options.optopt("l", "load", "flood: load of that rank in multiples of capacity (5)", "X");
+    options.optopt("t", "seconds", "flood, hop, faults: length (8, 5, 30)", "S");
+    options.optflag("", "no-retry-budget", "flood: do not bound retries");
+    options.optflag("", "no-throttle", "flood: do not refuse early at the entry");
+    options.optflag("", "redirects", "flood: refusals name a less loaded node");
+    options.optflag("", "no-settle", "faults: do not ask for the outcome of broken attempts");
+    options.optopt("", "events", "faults: kinds that happen, separated by commas (all)", "KINDS");
     options.optflag("h", "help", "print this help and exit");
     options
 }
@@ -76,6 +87,33 @@
             };
             converge::run(options).await
         }
+        "flood" => {
+            let options = flood::Options {
+                site: get(matches, "site", flood::Site::Fjordleik)?,
+                policy: get(matches, "policy", Policy::Ranked)?,
+                flood: get(matches, "flood", "least".to_owned())?,
+                load: get(matches, "load", 5.0)?,
+                seconds: get(matches, "seconds", 8)?,
+                retry_budget: !matches.opt_present("no-retry-budget"),
+                throttle: !matches.opt_present("no-throttle"),
+                redirects: matches.opt_present("redirects"),
+                seed,
+            };
+            flood::run(options).await
+        }
+        "hop" => {
+            let seconds = get(matches, "seconds", 5)?;
+            hop::run(hop::Options { seconds, seed }).await
+        }
+        "faults" => {
+            let options = faults::Options {
+                seconds: get(matches, "seconds", 30)?,
+                settle: !matches.opt_present("no-settle"),
+                kinds: faults::kinds(&get(matches, "events", "all".to_owned())?)?,
+                seed,
+            };
+            faults::run(options).await
+        }
         other => Err(format!("`{other}`: no such experiment")),
     }
 }
