Calls stay on one thread

Ruled out: Nagle (nodelay set both ways), connection set-up (pools reused). Change: each worker thread has a runtime, connections and links of its own; an attempt is polled by the handler that waits for it and detached only when that goes away.

--- a/goldcresttally-proxy/src/lib.rs
+++ b/goldcresttally-proxy/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`claims`]: the border to whoever writes claims on idempotency keys.
 //! * [`transport`]: the border to the network.
 //! * [`server`]: accepts connections and finishes what is in flight when it stops.
+//! * [`workers`]: threads that serve calls, each with a runtime of its own.
 //! * [`headers`], [`body`], [`clock`], [`counters`], [`errors`]: shared parts.
 
 pub mod body;
@@ -21,6 +22,7 @@
 pub mod server;
 pub mod state;
 pub mod transport;
+pub mod workers;
 
 pub use body::CallBody;
 pub use clock::Clock;
@@ -29,6 +31,7 @@
 pub use peer::Peer;
 pub use state::{Identity, State};
 pub use transport::{TcpTransport, Transport};
+pub use workers::Workers;
 
 /// A boxed future, as trait objects return it.
 pub type BoxFuture<'a, T> = std::pin::Pin<Box<dyn Future<Output = T> + Send + 'a>>;
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Beside an upstream: admits a call, runs it, and remembers what became of it.
 
 mod attempts;
+mod detach;
 mod exchange;
 mod gate;
 mod run;
@@ -23,6 +24,7 @@
 use crate::state::State;
 use crate::transport::Transport;
 use attempts::Attempts;
+use detach::Detaching;
 pub use gate::Gate;
 use ticket::Ticket;
 
@@ -160,8 +162,9 @@
         // for the outcome on another one.
         let (tx, rx) = tokio::sync::oneshot::channel();
         let run = run::Run { peer: Arc::clone(self), ticket, cancelled, answer: Some(tx) };
-        self.tasks.spawn(run.run(parts, body));
-        let lost = |_| CallError::may_have_run(Reason::ConnectionLost).into_response();
-        rx.await.unwrap_or_else(lost)
+        let run = Detaching::new(run.run(parts, body), self.tasks.clone());
+        run.until(rx).await.unwrap_or_else(|| {
+            CallError::may_have_run(Reason::ConnectionLost).into_response()
+        })
     }
 }
--- a/goldcresttally-proxy/src/peer/upstream.rs
+++ b/goldcresttally-proxy/src/peer/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to one upstream; each carries one call at a time.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use http::{Request, Response};
@@ -13,6 +13,7 @@
 
 use crate::body::CallBody;
 use crate::transport::Transport;
+use crate::workers;
 
 /// Time for which an idle connection is kept, in milliseconds.
 const IDLE_LIMIT_MS: u64 = 1000;
@@ -20,6 +21,9 @@
 /// Time within which a connection must stand, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1000;
 
+/// Workers that have idle connections of their own; further ones share with the first.
+const WORKER_LIMIT: usize = 16;
+
 /// Most idle connections kept to one upstream.
 const IDLE_CONNECTIONS: usize = 128;
 
@@ -50,12 +54,14 @@
 #[derive(Debug)]
 pub(super) struct UpstreamPool {
     address: SocketAddr,
-    idle: Mutex<Vec<Connection>>,
+    /// By worker, so that a connection is used on the thread that drives it.
+    idle: Vec<Mutex<Vec<Connection>>>,
 }
 
 impl UpstreamPool {
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: Mutex::default() }
+        let idle = (0..WORKER_LIMIT).map(|_| Mutex::default()).collect();
+        Self { address, idle }
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -95,14 +101,19 @@
             return;
         }
         connection.idle_since = Instant::now();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = self.own_idle();
         if idle.len() < IDLE_CONNECTIONS {
             idle.push(connection);
         }
     }
 
+    fn own_idle(&self) -> MutexGuard<'_, Vec<Connection>> {
+        let own = &self.idle[workers::current_index() % WORKER_LIMIT];
+        own.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn take_idle(&self) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = self.own_idle();
         let limit = Duration::from_millis(IDLE_LIMIT_MS);
         idle.retain(|c| c.idle_since.elapsed() < limit && !c.sender.is_closed());
         idle.pop()
--- a/goldcresttally-proxy/src/server.rs
+++ b/goldcresttally-proxy/src/server.rs
@@ -7,8 +7,9 @@
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tower::util::Oneshot;
@@ -38,9 +39,11 @@
 const ACCEPT_RETRY_MS: u64 = 50;
 
 /// Serves HTTP/1.1 and HTTP/2 on `listener` until `stop`, then finishes what is in flight.
+///
+/// Each connection is served by the next of `workers`: a runtime and the service to use on it.
 pub async fn serve<S>(
     listener: TcpListener,
-    service: S,
+    workers: Vec<(Handle, S)>,
     stop: CancellationToken,
     tasks: TaskTracker,
 ) where
@@ -51,9 +54,7 @@
     S::Future: Send + 'static,
 {
     let graceful = GracefulShutdown::new();
-    let service = Adapter(service);
-    let builder = builder();
-    loop {
+    for turn in 0.. {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => break,
@@ -62,11 +63,10 @@
             tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
             continue;
         };
-        let Some(io) = prepare(stream) else { continue };
-        let connection = builder.serve_connection(io, service.clone()).into_owned();
-        let connection = graceful.watch(connection);
-        // How a connection ended is of no interest to others.
-        tasks.spawn(async move { drop(connection.await) });
+        let Ok(stream) = stream.into_std() else { continue };
+        let (handle, service) = &workers[turn % workers.len()];
+        let connection = serve_connection(stream, Adapter(service.clone()), graceful.watcher());
+        tasks.spawn_on(connection, handle);
     }
     drop(listener);
     graceful.shutdown().await;
@@ -89,9 +89,22 @@
     }
 }
 
-fn prepare(stream: TcpStream) -> Option<TokioIo<TcpStream>> {
-    stream.set_nodelay(true).ok()?;
-    Some(TokioIo::new(stream))
+/// Serves one connection on the runtime that polls this.
+async fn serve_connection<S>(stream: std::net::TcpStream, service: Adapter<S>, watcher: Watcher)
+where
+    S: Service<Request<CallBody>, Response = Response<CallBody>, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send + 'static,
+{
+    let Ok(stream) = TcpStream::from_std(stream) else { return };
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let connection = builder().serve_connection(TokioIo::new(stream), service).into_owned();
+    // How a connection ended is of no interest to others.
+    let _ = watcher.watch(connection).await;
 }
 
 fn builder() -> auto::Builder<TokioExecutor> {
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -48,7 +48,7 @@
     pub settings: Arc<Settings>,
     pub machines: RefCell<Machines>,
     pub peer: Arc<Peer>,
-    pub links: Arc<Links>,
+    pub links: Vec<Arc<Links>>,
     pub transport: Arc<dyn Transport>,
     pub document: Document,
     pub table: Arc<HttpPlatform>,
--- a/goldcresttallyd/src/control/mod.rs
+++ b/goldcresttallyd/src/control/mod.rs
@@ -45,8 +45,8 @@
     pub transport: Arc<dyn Transport>,
     /// The part that runs calls.
     pub peer: Arc<Peer>,
-    /// The connections for calls.
-    pub links: Arc<Links>,
+    /// The connections for calls, by worker.
+    pub links: Vec<Arc<Links>>,
     /// The platform's address.
     pub platform: SocketAddr,
     /// Drives random choices.
--- a/goldcresttallyd/src/control/view.rs
+++ b/goldcresttallyd/src/control/view.rs
@@ -27,7 +27,7 @@
         };
         self.on_distribution(distribution::Event::Members(peers));
         let live: Set<_> = records.iter().map(|r| r.peer).collect();
-        self.links.retain(|to| live.contains(to));
+        self.links.iter().for_each(|links| links.retain(|to| live.contains(to)));
         let state = self.peer.state();
         let table = self.endpoints(&records, &state.endpoints());
         state.set_endpoints(table);
--- a/goldcresttallyd/src/main.rs
+++ b/goldcresttallyd/src/main.rs
@@ -50,8 +50,8 @@
         return Ok(ExitCode::SUCCESS);
     }
     logging::init(&settings.log)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.node.threads)
+    // Calls are served by threads of their own; this runtime has the operators' interface.
+    let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| e.to_string())?;
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -11,9 +11,10 @@
 use goldcresttally_platform::{Document, HttpPlatform};
 use goldcresttally_proxy::entry::{Entry, EntryService, Options, PeerService};
 use goldcresttally_proxy::link::Links;
-use goldcresttally_proxy::{Clock, Identity, Peer, State, TcpTransport, Transport, clock, server};
+use goldcresttally_proxy::{Clock, Identity, Peer, State, TcpTransport, Transport, Workers, clock, server};
 use goldcresttally_report::Recorder;
 use tokio::net::TcpListener;
+use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -58,6 +59,7 @@
     peer: Arc<Peer>,
     recorder: Arc<Recorder>,
     control: ControlThread,
+    workers: Workers,
     /// Stops the listener for callers.
     stop_calls: CancellationToken,
     /// Stops everything else.
@@ -88,13 +90,17 @@
             deps.policy,
             settings.requests.redirects,
         ));
-        let links = Links::new(Arc::clone(&state), Arc::clone(&transport), tasks.clone());
-        let links = Arc::new(links);
+        let workers = Workers::start(settings.node.threads)?;
+        let links = || {
+            let links = Links::new(Arc::clone(&state), Arc::clone(&transport), tasks.clone());
+            Arc::new(links)
+        };
+        let links: Vec<_> = workers.handles().iter().map(|_| links()).collect();
         let control = ControlThread::start(control::Config {
             own: own_record(&settings, generation),
-            transport,
+            transport: Arc::clone(&transport),
             peer: Arc::clone(&peer),
-            links: Arc::clone(&links),
+            links: links.clone(),
             platform: settings.platform,
             seed: deps.seed,
             settings: Arc::clone(&settings),
@@ -103,32 +109,37 @@
         let recorder = Arc::new(Recorder::default());
         let table = HttpPlatform::new(settings.platform, Some(id.0.ip()));
         let claims = Arc::new(KeeperClient::new(control.commands.clone(), table.clone()));
-        let entry = Entry::new(
-            Arc::clone(&peer),
-            links,
-            claims,
-            Arc::clone(&recorder),
-            tasks.clone(),
-            deps.entry,
-        );
+        let entry = |links| {
+            let claims = Arc::clone(&claims) as _;
+            let recorder = Arc::clone(&recorder);
+            let entry =
+                Entry::new(Arc::clone(&peer), links, claims, recorder, tasks.clone(), deps.entry);
+            EntryService(Arc::new(entry))
+        };
+        let entries = workers.handles().into_iter().zip(links.into_iter().map(entry)).collect();
         let mut node = Self {
             settings,
             state,
             peer,
             recorder,
             control,
+            workers,
             stop_calls: CancellationToken::new(),
             stop: CancellationToken::new(),
             tasks,
             call_listeners: Vec::new(),
             listeners: Vec::new(),
         };
-        node.listen(Arc::new(entry), table).await?;
+        node.listen(entries, table).await?;
         emit(events::NODE_STARTED, format_args!("{id} generation {generation}"));
         Ok(node)
     }
 
-    async fn listen(&mut self, entry: Arc<Entry>, table: HttpPlatform) -> io::Result<()> {
+    async fn listen(
+        &mut self,
+        entries: Vec<(Handle, EntryService)>,
+        table: HttpPlatform,
+    ) -> io::Result<()> {
         let addresses = &self.settings.node;
         let calls = TcpListener::bind(addresses.calls).await?;
         let peers = TcpListener::bind(addresses.peer).await?;
@@ -142,10 +153,10 @@
             recorder: Arc::clone(&self.recorder),
         };
         let (tasks, stop) = (&self.tasks, &self.stop);
-        let serve =
-            server::serve(calls, EntryService(entry), self.stop_calls.clone(), tasks.clone());
+        let serve = server::serve(calls, entries, self.stop_calls.clone(), tasks.clone());
         self.call_listeners.push(tokio::spawn(serve));
-        let peer = PeerService(Arc::clone(&self.peer));
+        let peer = |handle| (handle, PeerService(Arc::clone(&self.peer)));
+        let peer = self.workers.handles().into_iter().map(peer).collect();
         self.listeners.push(tokio::spawn(server::serve(peers, peer, stop.clone(), tasks.clone())));
         let serve = operator::serve(operators, operator, stop.clone());
         self.listeners.push(tokio::spawn(serve));
--- a/goldcresttallyd/src/node/stop.rs
+++ b/goldcresttallyd/src/node/stop.rs
@@ -36,8 +36,11 @@
         calls_ended && attempts_ended
     }
 
-    /// Ends the control thread of a node whose runtime has been shut down, as a crash would.
-    pub async fn kill(self) {
+    /// Ends at once, as a crash would: cuts what is in flight.
+    pub async fn kill(mut self) {
+        self.call_listeners.append(&mut self.listeners);
+        join_by(Instant::now(), &mut self.call_listeners).await;
+        self.workers.stop().await;
         self.control.stop().await;
     }
 
@@ -63,6 +66,7 @@
         // What is left are connections that others keep open.
         let _ = tokio::time::timeout_at(limit, self.tasks.wait()).await;
         let node = self.state.identity.node;
+        self.workers.stop().await;
         self.control.stop().await;
         emit(events::NODE_STOPPED, format_args!("{node}"));
     }
--- a/tally-lab/src/experiments/hop.rs
+++ b/tally-lab/src/experiments/hop.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use goldcresttally_proxy::workers::THREAD_NAME;
 use goldcresttally_standin::upstream::{Behaviour, Record};
 use hdrhistogram::Histogram;
 use http::Method;
@@ -13,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::documents;
-use crate::fleet::{Fleet, FleetOptions, NODE_THREAD, Place};
+use crate::fleet::{Fleet, FleetOptions, Place};
 use crate::load::{Caller, Outcome, Spec};
 use crate::output::{Report, rounded};
 
@@ -180,7 +181,7 @@
     let mut total_ns = 0;
     for task in tasks.flatten() {
         let read = |name| std::fs::read_to_string(task.path().join(name)).unwrap_or_default();
-        if read("comm").trim() == NODE_THREAD {
+        if read("comm").trim() == THREAD_NAME {
             let text = read("schedstat");
             total_ns += text.split_whitespace().next().and_then(|n| n.parse().ok()).unwrap_or(0u64);
         }
--- a/tally-lab/src/fleet/mod.rs
+++ b/tally-lab/src/fleet/mod.rs
@@ -1,6 +1,5 @@
 //! Nodes on loopback addresses of their own, over a network that can be cut.
 
-mod life;
 mod monitor;
 mod network;
 mod place;
@@ -15,11 +14,10 @@
 use goldcresttally_proxy::entry::Options;
 use goldcresttally_standin::upstream::{Announce, Behaviour, Record};
 use goldcresttally_standin::{Platform, Upstream};
-use goldcresttallyd::{Deps, Settings};
+use goldcresttallyd::{Deps, Node, Settings};
 use http::Method;
 use serde_json::Value;
 
-pub use life::{Life, NODE_THREAD};
 pub use monitor::Monitor;
 pub use network::Network;
 pub use place::Place;
@@ -66,7 +64,7 @@
     /// Its addresses and failure domain.
     pub place: Place,
     /// The node.
-    pub node: Option<Life>,
+    pub node: Option<Node>,
     /// The upstream.
     pub upstream: Option<Upstream>,
     last_generation: Generation,
@@ -110,7 +108,7 @@
             seed: self.seed.wrapping_mul(1000) + i as u64,
             after_generation: vm.last_generation,
         };
-        let node = Life::start(settings, deps).await?;
+        let node = Node::start(settings, deps).await?;
         vm.last_generation = node.state().identity.generation;
         vm.node = Some(node);
         Ok(())
