Admission: headroom for urgent calls, refusal of what would be late, load by rank

Cause, found by tally-lab flood (fjordleik, load 5): urgent p99 rose 131 to 175 ms over its quiet p99 in a flood of the least (slots free in lockstep, all full of lesser calls; entries compared nodes by queues of calls that urgent ones do not wait for); in a flood of the urgent goodput was 13% of capacity, since calls waited 2.3 s for a target of 250 ms, and retries after a wait came late too. Change: one slot in twelve is kept free while more urgent calls come; a call may wait until it would be late, measured from its entry; load is counted and reported by rank; throttle and retry budget are per service and rank, and the throttle forgets with a half-life of 250 ms.

--- a/goldcresttally-admission/src/machine.rs
+++ b/goldcresttally-admission/src/machine.rs
@@ -10,6 +10,12 @@
 use crate::limit::{AdaptiveLimit, Outcome};
 use crate::queue::{RankedQueue, Waiting};
 
+/// One slot in so many, rounded, is kept free for urgent calls that are expected.
+const HEADROOM_DIVISOR: usize = 12;
+
+/// Service time to allow for, as a multiple of the average.
+const SERVICE_TIME_MARGIN: f64 = 1.1;
+
 /// Identifies a call within one admission machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CallId(pub u64);
@@ -100,6 +106,10 @@
         rank: usize,
         /// When its answer is of no use any more.
         deadline: Deadline,
+        /// Until when its answer is on time.
+        on_time_by: Deadline,
+        /// Time within which the answers of its rank are on time.
+        target: Duration,
     },
     /// A call that was dispatched ended.
     Finish {
@@ -165,8 +175,9 @@
     /// Takes one event and appends what is to be done to `actions`.
     pub fn on_event(&mut self, now: MonoTime, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Offer { call, rank, deadline } => {
-                self.on_offer(now, call, rank, deadline, actions);
+            Event::Offer { call, rank, deadline, on_time_by, target } => {
+                let start_by = self.start_by(now, deadline, on_time_by, target);
+                self.on_offer(now, rank, Waiting { call, start_by, arrived: now }, actions);
             }
             Event::Finish { call, outcome } => self.on_finish(now, call, outcome),
             Event::Withdraw { call } => {
@@ -187,6 +198,12 @@
         Load { running: self.running.len(), waiting: self.queue.len(), limit }
     }
 
+    /// Returns the calls that one of `rank` would compete with: those that run, and those of its
+    /// own rank and of more urgent ones that wait.
+    pub fn competitors(&self, rank: usize) -> usize {
+        self.running.len() + self.queue.ahead_of(rank)
+    }
+
     /// Tells whether the upstream takes nothing new.
     pub fn is_draining(&self) -> bool {
         self.draining
@@ -198,22 +215,49 @@
         self.options = options;
     }
 
+    /// Returns until when it makes sense to let a call wait.
+    ///
+    /// Calls that wait until they are late only make those behind them late too. Where the target
+    /// is hardly above the service time, one service time of waiting is allowed all the same, or
+    /// everything would be refused.
+    fn start_by(
+        &self,
+        now: MonoTime,
+        deadline: Deadline,
+        on_time_by: Deadline,
+        target: Duration,
+    ) -> Deadline {
+        let service_time = self.limit.service_time().unwrap_or(Duration::ZERO);
+        let usual = service_time.mul_f64(SERVICE_TIME_MARGIN);
+        let tight = target < 2 * service_time;
+        let patience = on_time_by.remaining(now).saturating_sub(usual);
+        let patience = if tight { patience.max(service_time) } else { patience };
+        // Half of the usual service time may be enough for one call.
+        let last = deadline.remaining(now).saturating_sub(service_time.div_f64(2.0));
+        Deadline::after(now, if service_time.is_zero() { last } else { patience.min(last) })
+    }
+
     fn on_offer(
         &mut self,
         now: MonoTime,
-        call: CallId,
         rank: usize,
-        deadline: Deadline,
+        offered: Waiting,
         actions: &mut Vec<Action>,
     ) {
+        let call = offered.call;
         if self.draining {
             actions.push(Action::Refuse(call, Refusal::Draining));
             return;
         }
         let fifo = self.options.policy == Policy::Fifo;
         let lane = if fifo { 0 } else { rank };
-        if !fifo && !self.can_meet(now, lane, deadline) {
-            actions.push(Action::Refuse(call, Refusal::Deadline));
+        if !fifo && offered.start_by.is_past(now + self.expected_wait(lane)) {
+            // What would be late because of the work ahead of it is refused for that work's sake.
+            let refusal = match offered.start_by.is_past(now) {
+                true => Refusal::Deadline,
+                false => Refusal::Overloaded,
+            };
+            actions.push(Action::Refuse(call, refusal));
             return;
         }
         let idle = self.running.len() < self.limit.get() && self.queue.is_empty();
@@ -221,19 +265,18 @@
             actions.push(Action::Refuse(call, Refusal::Overloaded));
             return;
         }
-        self.queue.push(lane, Waiting { call, deadline, arrived: now });
+        self.queue.push(lane, offered);
     }
 
-    /// Tells whether a call of `rank` can be answered in time, by the work that goes before it.
-    fn can_meet(&self, now: MonoTime, rank: usize, deadline: Deadline) -> bool {
-        let Some(service_time) = self.limit.service_time() else {
-            return !deadline.is_past(now);
-        };
+    /// Returns how long a call of `rank` would wait for the work that goes before it.
+    fn expected_wait(&self, rank: usize) -> Duration {
         let limit = self.limit.get();
-        let busy = self.running.len() >= limit;
-        let turns = if busy { self.queue.ahead_of(rank) + 1 } else { 0 };
-        let wait = service_time.mul_f64(turns as f64 / limit as f64);
-        !deadline.is_past(now + wait + service_time)
+        if self.running.len() < limit {
+            return Duration::ZERO;
+        }
+        let turns = self.queue.ahead_of(rank) + 1;
+        let service_time = self.limit.service_time().unwrap_or(Duration::ZERO);
+        service_time.mul_f64(turns as f64 / limit as f64)
     }
 
     /// Finds a place in the queue, at the cost of less urgent calls if need be.
@@ -268,20 +311,27 @@
         if self.options.policy == Policy::Fifo || self.queue.is_empty() {
             return;
         }
-        // What cannot be answered in time any more only takes the place of what can.
-        let reserve = self.limit.service_time().unwrap_or(Duration::ZERO).div_f64(2.0);
-        let expired = self.queue.drain_where(|w| w.deadline.is_past(now + reserve));
+        let expired = self.queue.drain_where(|w| w.start_by.is_past(now));
         actions.extend(expired.iter().map(|w| Action::Refuse(w.call, Refusal::Deadline)));
     }
 
     fn dispatch(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
         while self.has_slot() {
-            let Some(next) = self.queue.pop() else { return };
+            let free = self.limit.get().saturating_sub(self.running.len());
+            let Some(next) = self.queue.pop(now, free, self.headroom()) else { return };
             self.running.insert(next.call, now);
             actions.push(Action::Dispatch(next.call));
         }
     }
 
+    /// Returns the slots to keep free for more urgent calls that are expected.
+    fn headroom(&self) -> usize {
+        match self.options.policy {
+            Policy::Ranked => (self.limit.get() + HEADROOM_DIVISOR / 2) / HEADROOM_DIVISOR,
+            Policy::Fifo | Policy::Strict => 0,
+        }
+    }
+
     fn has_slot(&self) -> bool {
         self.options.policy == Policy::Fifo || self.running.len() < self.limit.get()
     }
--- a/goldcresttally-admission/src/queue.rs
+++ b/goldcresttally-admission/src/queue.rs
@@ -1,11 +1,16 @@
 //! Calls that wait, by rank; the most urgent go first, but each rank keeps its floor share.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use goldcresttally_core::{Deadline, MonoTime};
 
 use crate::machine::CallId;
 
+/// Time after a call of a more urgent rank for which a slot is kept free for the next one, in
+/// milliseconds.
+const HEADROOM_MEMORY_MS: u64 = 1000;
+
 /// Most turns that a rank can save up while it waits.
 const CREDIT_LIMIT: f64 = 2.0;
 
@@ -14,8 +19,8 @@
 pub struct Waiting {
     /// The call.
     pub call: CallId,
-    /// When its answer is of no use any more.
-    pub deadline: Deadline,
+    /// When it must have been sent to the upstream, or is better refused.
+    pub start_by: Deadline,
     /// When it came.
     pub arrived: MonoTime,
 }
@@ -23,6 +28,8 @@
 /// The calls of one rank.
 #[derive(Debug, Clone, Default)]
 struct Lane {
+    /// When a call of this rank last came.
+    arrived: Option<MonoTime>,
     waiting: VecDeque<Waiting>,
     floor: f64,
     credit: f64,
@@ -65,13 +72,20 @@
         if self.lanes.len() <= rank {
             self.lanes.resize_with(rank + 1, Lane::default);
         }
+        self.lanes[rank].arrived = Some(waiting.arrived);
         self.lanes[rank].waiting.push_back(waiting);
         self.len += 1;
     }
 
-    /// Takes the call to serve next.
-    pub fn pop(&mut self) -> Option<Waiting> {
-        let at = self.lane_to_serve()?;
+    /// Takes the call to serve next, `free` slots being free.
+    ///
+    /// While more urgent calls come, `headroom` slots are kept free for the next of them; a rank
+    /// that is owed its floor share may use them all the same.
+    pub fn pop(&mut self, now: MonoTime, free: usize, headroom: usize) -> Option<Waiting> {
+        let (at, owed) = self.lane_to_serve()?;
+        if free <= headroom && !owed && self.expects_above(now, at) {
+            return None;
+        }
         for lane in &mut self.lanes {
             lane.credit = match lane.waiting.is_empty() {
                 true => 0.0,
@@ -85,18 +99,21 @@
     }
 
     /// A rank that has saved up a turn goes first; otherwise the most urgent does.
-    fn lane_to_serve(&self) -> Option<usize> {
+    fn lane_to_serve(&self) -> Option<(usize, bool)> {
         let busy = |i: &usize| !self.lanes[*i].waiting.is_empty();
         let most_urgent = (0..self.lanes.len()).find(busy)?;
         let owed = |i: &usize| busy(i) && self.lanes[*i].credit + self.lanes[*i].floor >= 1.0;
         let by_credit =
             |a: &usize, b: &usize| self.lanes[*a].credit.total_cmp(&self.lanes[*b].credit);
-        Some(
-            (most_urgent + 1..self.lanes.len())
-                .filter(owed)
-                .max_by(by_credit)
-                .unwrap_or(most_urgent),
-        )
+        let owed = (most_urgent + 1..self.lanes.len()).filter(owed).max_by(by_credit);
+        Some(owed.map_or((most_urgent, false), |lane| (lane, true)))
+    }
+
+    /// Tells whether calls more urgent than those of `rank` came of late.
+    fn expects_above(&self, now: MonoTime, rank: usize) -> bool {
+        let memory = Duration::from_millis(HEADROOM_MEMORY_MS);
+        let recent = |lane: &Lane| lane.arrived.is_some_and(|at| now.since(at) < memory);
+        self.lanes[..rank].iter().any(recent)
     }
 
     /// Makes room for a call of `rank`: takes the newest call of the least urgent rank that
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -40,7 +40,7 @@
         keyed: bool,
     ) -> Result<Response<CallBody>, CallError> {
         let entry = &self.entry;
-        let in_flight = InFlight::start(attempt.endpoint.clone());
+        let in_flight = InFlight::start(attempt.endpoint.clone(), self.route.rank.index);
         let mut guard = CancelGuard { entry: Arc::clone(entry), attempt: Some(attempt.clone()) };
         let req = self.request(attempt, body, keyed);
         let result = match attempt.endpoint.node == entry.state.identity.node {
@@ -122,6 +122,9 @@
         headers::set(map, headers::OP, "call");
         headers::set(map, headers::SERVICE, &self.route.service.name);
         headers::set(map, headers::RANK, &self.route.rank.name);
+        let on_time_by = Deadline::after(self.started, self.route.rank.target);
+        let on_time = on_time_by.remaining(self.entry.state.clock.now()).as_millis();
+        headers::set(map, headers::ON_TIME_MS, &on_time);
         if keyed {
             headers::set(map, headers::KEYED, "true");
         }
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -14,7 +14,7 @@
 use crate::body::{CallBody, Replay};
 use crate::errors::{CallError, Reason};
 use crate::headers;
-use crate::state::Serving;
+use crate::state::{EntryLimits, Serving};
 
 /// Longest random wait before another attempt, in milliseconds.
 const RETRY_JITTER_MS: u64 = 10;
@@ -89,8 +89,7 @@
 
     /// Runs the call to its end.
     pub async fn run(&self, body: CallBody) -> Result<Response<CallBody>, CallError> {
-        self.check_throttle()?;
-        self.entry.budget.on_call();
+        self.check_limits()?;
         let read = tokio::time::timeout_at(self.timer(), Replay::read(body)).await;
         let Ok(Ok(body)) = read else {
             return Err(CallError::not_run(Reason::BadRequest));
@@ -119,14 +118,15 @@
         let all = all.ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?;
         let now = self.entry.state.clock.now();
         let random = |n| fastrand::usize(..n);
+        let rank = self.route.rank.index;
         let hinted = tries.hint.take().and_then(|hint| all.iter().find(|e| e.node == hint));
         if hinted.is_some() {
             self.entry.state.counters.redirects.add();
         }
         let picked = hinted
-            .or_else(|| self.entry.picker.pick(now, all, &tries.tried, random))
+            .or_else(|| self.entry.picker.pick(now, rank, all, &tries.tried, random))
             // All were tried: a refusal by one of them may be over by now.
-            .or_else(|| self.entry.picker.pick(now, all, &[], random));
+            .or_else(|| self.entry.picker.pick(now, rank, all, &[], random));
         let endpoint = picked.ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?.clone();
         tries.tried.push(endpoint.node);
         tries.made += 1;
@@ -150,8 +150,8 @@
         if self.deadline.is_past(self.entry.state.clock.now()) {
             return give_up();
         }
-        let budget = &self.entry.budget;
-        if self.entry.options.retry_budget && !budget.take() {
+        let budget = self.limits().map(|l| &l.retries);
+        if self.entry.options.retry_budget && budget.is_some_and(|b| !b.take()) {
             return give_up();
         }
         let hint = error.redirect.filter(|node| !tries.tried.contains(node));
@@ -165,21 +165,21 @@
         Ok(())
     }
 
-    fn check_throttle(&self) -> Result<(), CallError> {
-        let Some(throttle) = self.throttle() else {
-            return Ok(());
-        };
-        if throttle.admit(self.entry.state.clock.now(), fastrand::f64()) {
+    fn check_limits(&self) -> Result<(), CallError> {
+        let Some(limits) = self.limits() else { return Ok(()) };
+        limits.retries.on_call();
+        let admits = limits.throttle.admit(self.entry.state.clock.now(), fastrand::f64());
+        if admits || !self.entry.options.throttle {
             return Ok(());
         }
         self.entry.state.counters.throttled.add();
         Err(CallError::not_run(Reason::Overloaded))
     }
 
-    /// Returns the throttle of this call's service and rank, unless it is switched off.
-    pub fn throttle(&self) -> Option<&goldcresttally_routing::Throttle> {
-        let list = self.serving.throttles.get(&self.route.service.name)?;
-        list.get(self.route.rank.index).filter(|_| self.entry.options.throttle)
+    /// Returns the limits of this call's service and rank.
+    pub fn limits(&self) -> Option<&EntryLimits> {
+        let list = self.serving.limits.get(&self.route.service.name)?;
+        list.get(self.route.rank.index)
     }
 
     /// Returns the instant of the call's deadline.
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -12,7 +12,7 @@
 
 use goldcresttally_core::Verdict;
 use goldcresttally_report::Recorder;
-use goldcresttally_routing::{Ejection, Picker, RetryBudget};
+use goldcresttally_routing::{Ejection, Picker};
 use http::{Request, Response};
 use tokio_util::task::TaskTracker;
 
@@ -53,7 +53,6 @@
     tasks: TaskTracker,
     picker: Picker,
     ejection: Ejection,
-    budget: RetryBudget,
     options: Options,
 }
 
@@ -76,7 +75,6 @@
             tasks,
             picker: Picker::default(),
             ejection: Ejection::default(),
-            budget: RetryBudget::default(),
             options,
         }
     }
--- a/goldcresttally-proxy/src/entry/observe.rs
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -19,25 +19,26 @@
 #[derive(Debug)]
 pub(super) struct InFlight {
     endpoint: Endpoint,
+    rank: usize,
 }
 
 impl InFlight {
-    pub fn start(endpoint: Endpoint) -> Self {
-        endpoint.observed.start();
-        Self { endpoint }
+    pub fn start(endpoint: Endpoint, rank: usize) -> Self {
+        endpoint.observed.start(rank);
+        Self { endpoint, rank }
     }
 
     /// Takes the load that the peer reported.
     pub fn report(&self, state: &State, map: &HeaderMap) {
         if let Some(load) = headers::parse(map, &headers::LOAD) {
-            self.endpoint.observed.report(state.clock.now(), load);
+            self.endpoint.observed.report(state.clock.now(), self.rank, load);
         }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.endpoint.observed.end();
+        self.endpoint.observed.end(self.rank);
     }
 }
 
@@ -85,8 +86,8 @@
         match result {
             Ok(_) => {
                 observed.answered(now.since(self.started));
-                if let Some(throttle) = self.throttle() {
-                    throttle.accepted();
+                if let Some(limits) = self.limits() {
+                    limits.throttle.accepted();
                 }
             }
             Err(error) if is_endpoint_failure(error) => {
--- a/goldcresttally-proxy/src/headers.rs
+++ b/goldcresttally-proxy/src/headers.rs
@@ -18,6 +18,8 @@
 pub const RANK: HeaderName = HeaderName::from_static("tally-rank");
 /// Time left until the deadline, in milliseconds.
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("tally-deadline-ms");
+/// Time left until an answer is late, in milliseconds.
+pub const ON_TIME_MS: HeaderName = HeaderName::from_static("tally-on-time-ms");
 /// Set on attempts of calls with an idempotency key, which are remembered for longer.
 pub const KEYED: HeaderName = HeaderName::from_static("tally-keyed");
 /// Whether a call that failed may have run.
--- a/goldcresttally-proxy/src/peer/detach.rs
+++ b/goldcresttally-proxy/src/peer/detach.rs
@@ -7,10 +7,12 @@
 use tokio::sync::oneshot;
 use tokio_util::task::TaskTracker;
 
+type Task = Pin<Box<dyn Future<Output = ()> + Send>>;
+
 /// A task that is polled by whoever waits for its result, which saves a switch between tasks; it
 /// is spawned to run to its end when the wait is over or given up.
 pub(super) struct Detaching {
-    task: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
+    task: Option<Task>,
     tasks: TaskTracker,
 }
 
@@ -44,10 +46,9 @@
     type Output = Option<T>;
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<T>> {
-        if let Some(task) = &mut self.detaching.task {
-            if task.as_mut().poll(cx).is_ready() {
-                self.detaching.task = None;
-            }
+        let ended = |task: &mut Task| task.as_mut().poll(cx).is_ready();
+        if self.detaching.task.as_mut().is_some_and(ended) {
+            self.detaching.task = None;
         }
         Pin::new(&mut self.result).poll(cx).map(Result::ok)
     }
--- a/goldcresttally-proxy/src/peer/exchange.rs
+++ b/goldcresttally-proxy/src/peer/exchange.rs
@@ -60,5 +60,5 @@
 pub(super) fn answer_headers(headers: &mut HeaderMap, peer: &Peer, ticket: &Ticket) {
     headers::strip_internal(headers);
     headers::strip_hop_by_hop(headers);
-    headers::set(headers, headers::LOAD, &peer.load_of(&ticket.service));
+    headers::set(headers, headers::LOAD, &peer.load_of(ticket));
 }
--- a/goldcresttally-proxy/src/peer/gate.rs
+++ b/goldcresttally-proxy/src/peer/gate.rs
@@ -6,10 +6,11 @@
 use goldcresttally_admission::{
     Action, Admission, CallId, Event, Load, Options, Outcome, Policy, Refusal,
 };
-use goldcresttally_core::{Deadline, Map};
+use goldcresttally_core::Map;
 use tokio::sync::oneshot;
 
 use super::LocalUpstream;
+use super::ticket::Ticket;
 use super::upstream::UpstreamPool;
 use crate::errors::{CallError, Reason};
 use crate::state::State;
@@ -77,6 +78,12 @@
         self.lock().admission.load()
     }
 
+    /// Returns the calls that one of `rank` would compete with, and the limit.
+    pub(super) fn competitors(&self, rank: usize) -> (usize, usize) {
+        let inner = self.lock();
+        (inner.admission.competitors(rank), inner.admission.load().limit)
+    }
+
     pub(super) fn pool(&self) -> &UpstreamPool {
         &self.pool
     }
@@ -112,8 +119,7 @@
     pub(super) async fn enter<'a>(
         &'a self,
         state: &'a State,
-        rank: usize,
-        deadline: Deadline,
+        ticket: &Ticket,
     ) -> Result<Place<'a>, CallError> {
         let (tx, rx) = oneshot::channel();
         let call = {
@@ -123,8 +129,10 @@
             inner.waiting.insert(call, tx);
             call
         };
+        let Ticket { rank, deadline, on_time_by, target, .. } = *ticket;
+        let offer = Event::Offer { call, rank, deadline, on_time_by, target };
         let place = Place { gate: self, state, call, outcome: Outcome::Failed };
-        self.step(state, Event::Offer { call, rank, deadline });
+        self.step(state, offer);
         match rx.await {
             Ok(Ok(())) => Ok(place),
             Ok(Err(Refusal::Overloaded)) => Err(CallError::not_run(Reason::Overloaded)),
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -163,8 +163,8 @@
         let (tx, rx) = tokio::sync::oneshot::channel();
         let run = run::Run { peer: Arc::clone(self), ticket, cancelled, answer: Some(tx) };
         let run = Detaching::new(run.run(parts, body), self.tasks.clone());
-        run.until(rx).await.unwrap_or_else(|| {
-            CallError::may_have_run(Reason::ConnectionLost).into_response()
-        })
+        run.until(rx)
+            .await
+            .unwrap_or_else(|| CallError::may_have_run(Reason::ConnectionLost).into_response())
     }
 }
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use goldcresttally_admission::Outcome;
-use goldcresttally_core::{NodeId, ServiceName};
+use goldcresttally_core::NodeId;
 use goldcresttally_ledger::Answer;
 use goldcresttally_routing::Picker;
 use http::request::Parts;
@@ -45,11 +45,11 @@
     /// Waits for a slot, runs the call and answers.
     pub async fn run(mut self, parts: Parts, body: Replay<CallBody>) {
         let peer = Arc::clone(&self.peer);
-        let Some(gate) = peer.choose_gate(&self.ticket.service) else {
+        let Some(gate) = peer.choose_gate(&self.ticket) else {
             return self.refuse(CallError::not_run(Reason::NoEndpoint));
         };
         let entered = tokio::select! {
-            entered = gate.enter(&peer.state, self.ticket.rank, self.ticket.deadline) => entered,
+            entered = gate.enter(&peer.state, &self.ticket) => entered,
             () = self.cancelled.cancelled() => Err(CallError::not_run(Reason::Fenced)),
         };
         let mut place = match entered {
@@ -184,10 +184,10 @@
     fn refuse(&mut self, mut error: CallError) {
         self.peer.attempts.not_run(self.ticket.attempt);
         if matches!(error.reason, Reason::Overloaded | Reason::Draining | Reason::Shed) {
-            error.redirect = self.peer.redirect_hint(&self.ticket.service);
+            error.redirect = self.peer.redirect_hint(&self.ticket);
         }
         let mut response = error.into_response();
-        let load = self.peer.load_of(&self.ticket.service);
+        let load = self.peer.load_of(&self.ticket);
         headers::set(response.headers_mut(), headers::LOAD, &load);
         self.send(response);
     }
@@ -209,25 +209,23 @@
 
 impl Peer {
     /// Chooses the least loaded upstream of a service that takes calls.
-    fn choose_gate(&self, service: &ServiceName) -> Option<Arc<Gate>> {
+    fn choose_gate(&self, ticket: &Ticket) -> Option<Arc<Gate>> {
         let gates = self.gates.load();
-        let list = gates.get(service)?;
+        let list = gates.get(&ticket.service)?;
         let share = |gate: &&Arc<Gate>| {
-            let load = gate.load();
-            (gate.is_draining(), (load.running + load.waiting) * 1000 / load.limit.max(1))
+            let (competitors, limit) = gate.competitors(ticket.rank);
+            (gate.is_draining(), competitors * 1000 / limit.max(1))
         };
         list.iter().min_by_key(share).map(Arc::clone)
     }
 
-    /// Returns the load of the service's upstreams here, in thousandths of their limit.
-    pub(super) fn load_of(&self, service: &ServiceName) -> usize {
+    /// Returns the load that a call like this one meets here, in thousandths of the limit.
+    pub(super) fn load_of(&self, ticket: &Ticket) -> usize {
         let gates = self.gates.load();
-        let Some(list) = gates.get(service) else {
-            return 0;
-        };
+        let Some(list) = gates.get(&ticket.service) else { return 0 };
         let (busy, limit) = list.iter().fold((0, 0), |(busy, limit), gate| {
-            let load = gate.load();
-            (busy + load.running + load.waiting, limit + load.limit)
+            let (competitors, own_limit) = gate.competitors(ticket.rank);
+            (busy + competitors, limit + own_limit)
         });
         busy * 1000 / limit.max(1)
     }
@@ -235,14 +233,15 @@
     /// Names a less loaded node that runs the service, by what this node has observed.
     ///
     /// The idea of REDIRECT in RFC 5685, section 3: who refuses names another gateway.
-    fn redirect_hint(&self, service: &ServiceName) -> Option<NodeId> {
+    fn redirect_hint(&self, ticket: &Ticket) -> Option<NodeId> {
         if !self.redirects {
             return None;
         }
         let endpoints = self.state.endpoints();
         let own = [self.state.identity.node];
         let now = self.state.clock.now();
-        let found = Picker::default().pick(now, endpoints.get(service)?, &own, fastrand_below)?;
+        let list = endpoints.get(&ticket.service)?;
+        let found = Picker::default().pick(now, ticket.rank, list, &own, fastrand_below)?;
         Some(found.node)
     }
 }
--- a/goldcresttally-proxy/src/peer/ticket.rs
+++ b/goldcresttally-proxy/src/peer/ticket.rs
@@ -1,6 +1,7 @@
 //! What an attempt's headers say of it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use goldcresttally_core::{AttemptId, Deadline, Generation, RankName, ServiceName};
 use http::HeaderMap;
@@ -17,6 +18,10 @@
     /// Position of the rank in the snapshot in force here; 0 is the most urgent.
     pub rank: usize,
     pub deadline: Deadline,
+    /// Until when the answer is on time.
+    pub on_time_by: Deadline,
+    /// Time within which answers of the rank are on time.
+    pub target: Duration,
     pub keyed: bool,
 }
 
@@ -44,12 +49,15 @@
         let serving = state.serving();
         let ranks = serving.snapshot.ranks();
         let known = ranks.iter().position(|r| Some(&r.name) == name.as_ref());
+        let on_time = headers::parse(headers, &headers::ON_TIME_MS).map(Duration::from_millis);
         Ok(Self {
             attempt,
             service,
             // The entry may be a version ahead: a rank unknown here counts as the least urgent.
             rank: known.unwrap_or(ranks.len()),
             deadline: Deadline::after(state.clock.now(), left),
+            on_time_by: Deadline::after(state.clock.now(), on_time.unwrap_or(left)),
+            target: known.map_or(left, |i| ranks[i].target),
             keyed: headers.contains_key(headers::KEYED),
         })
     }
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use goldcresttally_config::Snapshot;
 use goldcresttally_core::{AttemptId, Generation, Map, NodeId, ServiceName};
-use goldcresttally_routing::Endpoint;
+use goldcresttally_routing::{Endpoint, RetryBudget, Throttle};
 
 use crate::clock::Clock;
 use crate::counters::Counters;
@@ -26,25 +26,31 @@
 /// The endpoints of each service.
 pub type EndpointTable = Map<ServiceName, Arc<[Endpoint]>>;
 
+/// Limits of one service and rank at the entry; a flood of one rank leaves the others theirs.
+#[derive(Debug, Default)]
+pub struct EntryLimits {
+    /// Refuses early what the upstreams would refuse.
+    pub throttle: Throttle,
+    /// Bounds retries.
+    pub retries: RetryBudget,
+}
+
 /// The snapshot in force, with the limits of each service and rank at the entry.
 #[derive(Debug, Default)]
 pub struct Serving {
     /// The configuration.
     pub snapshot: Snapshot,
-    /// A throttle for each service and rank.
-    pub throttles: Map<ServiceName, Vec<goldcresttally_routing::Throttle>>,
+    /// The limits of each service and rank.
+    pub limits: Map<ServiceName, Vec<EntryLimits>>,
 }
 
 impl Serving {
     /// Prepares a snapshot for serving.
     pub fn new(snapshot: Snapshot) -> Self {
         let ranks = snapshot.ranks().len();
-        let throttle = |_| goldcresttally_routing::Throttle::default();
-        let throttles = snapshot
-            .services()
-            .map(|s| (s.name.clone(), (0..ranks).map(throttle).collect()))
-            .collect();
-        Self { snapshot, throttles }
+        let by_rank = || (0..ranks).map(|_| EntryLimits::default()).collect();
+        let limits = snapshot.services().map(|s| (s.name.clone(), by_rank())).collect();
+        Self { snapshot, limits }
     }
 }
 
--- a/goldcresttally-proxy/src/workers.rs
+++ b/goldcresttally-proxy/src/workers.rs
@@ -39,7 +39,8 @@
     /// Starts `count` threads.
     pub fn start(count: usize) -> io::Result<Self> {
         let stop = CancellationToken::new();
-        let list = (0..count.max(1)).map(|i| Worker::start(i, stop.clone())).collect::<Result<_, _>>()?;
+        let list =
+            (0..count.max(1)).map(|i| Worker::start(i, stop.clone())).collect::<Result<_, _>>()?;
         Ok(Self { list, stop })
     }
 
--- a/goldcresttally-routing/src/endpoint.rs
+++ b/goldcresttally-routing/src/endpoint.rs
@@ -24,22 +24,36 @@
     Remote,
 }
 
+/// Ranks whose load is told apart; the least urgent ones share the last class.
+const RANK_CLASSES: usize = 4;
+
+#[derive(Debug, Default)]
+struct Reported {
+    load: AtomicU32,
+    at_us: AtomicU64,
+}
+
+fn class(rank: usize) -> usize {
+    rank.min(RANK_CLASSES - 1)
+}
+
 /// What this node has observed of an endpoint; shared by the threads that serve calls.
 #[derive(Debug, Default)]
 pub struct Observed {
-    in_flight: AtomicU32,
+    /// By rank class.
+    in_flight: [AtomicU32; RANK_CLASSES],
     latency_us: AtomicU64,
     failures: AtomicU32,
     ejected_until_us: AtomicU64,
-    /// Load in thousandths of the limit, as the node beside the upstream reported it.
-    reported_load: AtomicU32,
-    reported_at_us: AtomicU64,
+    /// Load in thousandths of the limit by rank class, as the node beside the upstream reported it.
+    reported: [Reported; RANK_CLASSES],
 }
 
 impl Observed {
-    /// Returns the calls that this node has in flight there.
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight.load(Ordering::Relaxed)
+    /// Returns the calls that this node has in flight there and that a call of `rank` would have
+    /// to wait for: those of its own rank and of more urgent ones.
+    pub fn in_flight(&self, rank: usize) -> u32 {
+        self.in_flight[..=class(rank)].iter().map(|n| n.load(Ordering::Relaxed)).sum()
     }
 
     /// Returns the average latency, in microseconds.
@@ -50,14 +64,14 @@
         }
     }
 
-    /// Notes the start of a call.
-    pub fn start(&self) {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
+    /// Notes the start of a call of `rank`.
+    pub fn start(&self, rank: usize) {
+        self.in_flight[class(rank)].fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Notes the end of a call, whatever came of it.
-    pub fn end(&self) {
-        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    /// Notes the end of a call of `rank`, whatever came of it.
+    pub fn end(&self, rank: usize) {
+        self.in_flight[class(rank)].fetch_sub(1, Ordering::Relaxed);
     }
 
     /// Notes an answer that took `latency`.
@@ -75,17 +89,21 @@
         self.failures.fetch_add(1, Ordering::Relaxed) + 1
     }
 
-    /// Notes the load that the node beside the upstream reported, in thousandths of its limit.
-    pub fn report(&self, now: MonoTime, load: u32) {
-        self.reported_load.store(load, Ordering::Relaxed);
-        self.reported_at_us.store(now.0, Ordering::Relaxed);
+    /// Notes the load that the node beside the upstream reported to a call of `rank`, in
+    /// thousandths of its limit.
+    pub fn report(&self, now: MonoTime, rank: usize, load: u32) {
+        let reported = &self.reported[class(rank)];
+        reported.load.store(load, Ordering::Relaxed);
+        reported.at_us.store(now.0, Ordering::Relaxed);
     }
 
-    /// Returns the load reported of late, in thousandths of the limit; 0 when there is none.
-    pub fn reported_load(&self, now: MonoTime) -> u32 {
-        let at = MonoTime(self.reported_at_us.load(Ordering::Relaxed));
+    /// Returns the load reported to `rank` of late, in thousandths of the limit; 0 when there is
+    /// none.
+    pub fn reported_load(&self, now: MonoTime, rank: usize) -> u32 {
+        let reported = &self.reported[class(rank)];
+        let at = MonoTime(reported.at_us.load(Ordering::Relaxed));
         match now.since(at) < Duration::from_millis(REPORT_LIFE_MS) {
-            true => self.reported_load.load(Ordering::Relaxed),
+            true => reported.load.load(Ordering::Relaxed),
             false => 0,
         }
     }
--- a/goldcresttally-routing/src/picker.rs
+++ b/goldcresttally-routing/src/picker.rs
@@ -26,13 +26,14 @@
 }
 
 impl Picker {
-    /// Chooses an endpoint that is not in `tried`; `random(n)` returns a number below `n`.
+    /// Chooses an endpoint for a call of `rank` that is not in `tried`; `random(n)` returns a number below `n`.
     ///
     /// Returns `None` only when all endpoints were tried. Ejected and starting endpoints are
     /// used when there are no others.
     pub fn pick<'a>(
         &self,
         now: MonoTime,
+        rank: usize,
         endpoints: &'a [Endpoint],
         tried: &[NodeId],
         mut random: impl FnMut(usize) -> usize,
@@ -42,24 +43,25 @@
         let mut best: Option<&Endpoint> = None;
         for locality in [Locality::Domain, Locality::Region, Locality::Remote] {
             let tier = endpoints.iter().filter(|e| healthy(e) && e.locality == locality);
-            let Some(found) = self.better_of_two(now, &tier, &mut random) else {
+            let Some(found) = self.better_of_two(now, rank, &tier, &mut random) else {
                 continue;
             };
-            if load(now, found) < SPILL_LOAD {
+            if load(now, rank, found) < SPILL_LOAD {
                 return Some(found);
             }
             // All that is nearer is full: take the least loaded of what the tiers offered.
             best = match best {
-                Some(nearer) if load(now, nearer) <= load(now, found) => Some(nearer),
+                Some(nearer) if load(now, rank, nearer) <= load(now, rank, found) => Some(nearer),
                 _ => Some(found),
             };
         }
-        best.or_else(|| self.better_of_two(now, &endpoints.iter().filter(fresh), &mut random))
+        best.or_else(|| self.better_of_two(now, rank, &endpoints.iter().filter(fresh), &mut random))
     }
 
     fn better_of_two<'a>(
         &self,
         now: MonoTime,
+        rank: usize,
         tier: &(impl Iterator<Item = &'a Endpoint> + Clone),
         random: &mut impl FnMut(usize) -> usize,
     ) -> Option<&'a Endpoint> {
@@ -74,14 +76,14 @@
         }
         let second = (first + 1 + random(count - 1)) % count;
         let other = tier.clone().nth(second)?;
-        Some(if self.cost(now, other) < self.cost(now, one) { other } else { one })
+        Some(if self.cost(now, rank, other) < self.cost(now, rank, one) { other } else { one })
     }
 
     /// Returns the cost of one more call: work in flight times latency, over the warm-up share.
-    fn cost(&self, now: MonoTime, endpoint: &Endpoint) -> f64 {
+    fn cost(&self, now: MonoTime, rank: usize, endpoint: &Endpoint) -> f64 {
         let observed = &endpoint.observed;
-        let per_slot = f64::from(observed.in_flight() + 1) / f64::from(endpoint.slots.max(1));
-        let reported = f64::from(observed.reported_load(now)) / 1000.0;
+        let per_slot = f64::from(observed.in_flight(rank) + 1) / f64::from(endpoint.slots.max(1));
+        let reported = f64::from(observed.reported_load(now, rank)) / 1000.0;
         let age = now.since(endpoint.since).as_secs_f64() / self.slow_start.as_secs_f64();
         let warm = age.clamp(0.1, 1.0);
         (per_slot + reported) * observed.latency_us() as f64 / warm
@@ -89,7 +91,7 @@
 }
 
 /// Returns the load of an endpoint in thousandths of its limit, by own and reported numbers.
-fn load(now: MonoTime, endpoint: &Endpoint) -> u32 {
-    let own = endpoint.observed.in_flight() * 1000 / endpoint.slots.max(1);
-    own.max(endpoint.observed.reported_load(now))
+fn load(now: MonoTime, rank: usize, endpoint: &Endpoint) -> u32 {
+    let own = endpoint.observed.in_flight(rank) * 1000 / endpoint.slots.max(1);
+    own.max(endpoint.observed.reported_load(now, rank))
 }
--- a/goldcresttally-routing/src/throttle.rs
+++ b/goldcresttally-routing/src/throttle.rs
@@ -12,7 +12,7 @@
 const MULTIPLIER: f64 = 1.5;
 
 /// Half-life of the counts, in milliseconds.
-const HALF_LIFE_MS: u64 = 1000;
+const HALF_LIFE_MS: u64 = 250;
 
 /// Counts of one service and rank; shared by the threads that serve calls.
 #[derive(Debug, Default)]
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -11,7 +11,9 @@
 use goldcresttally_platform::{Document, HttpPlatform};
 use goldcresttally_proxy::entry::{Entry, EntryService, Options, PeerService};
 use goldcresttally_proxy::link::Links;
-use goldcresttally_proxy::{Clock, Identity, Peer, State, TcpTransport, Transport, Workers, clock, server};
+use goldcresttally_proxy::{
+    Clock, Identity, Peer, State, TcpTransport, Transport, Workers, clock, server,
+};
 use goldcresttally_report::Recorder;
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
--- a/tally-lab/src/experiments/faults.rs
+++ b/tally-lab/src/experiments/faults.rs
@@ -199,11 +199,8 @@
     }
 
     async fn kill(&mut self, i: usize) -> Result<(), String> {
-        {
-            let mut entries = lock(&self.entries);
-            entries.running.retain(|(n, _)| *n != i);
-            entries.killed.insert(i, Instant::now());
-        }
+        self.entry_gone(i);
+        lock(&self.entries).killed.insert(i, Instant::now());
         self.monitor.set_node(i, None);
         self.fleet.kill_node(i).await;
         lock(&self.entries).killed.insert(i, Instant::now());
@@ -211,8 +208,12 @@
         self.restart(i).await
     }
 
-    async fn stop(&mut self, i: usize) -> Result<(), String> {
+    fn entry_gone(&self, i: usize) {
         lock(&self.entries).running.retain(|(n, _)| *n != i);
+    }
+
+    async fn stop(&mut self, i: usize) -> Result<(), String> {
+        self.entry_gone(i);
         self.monitor.set_node(i, None);
         if !self.fleet.stop_node(i).await {
             self.unclean_stops += 1;
--- a/tally-lab/src/experiments/flood.rs
+++ b/tally-lab/src/experiments/flood.rs
@@ -124,8 +124,8 @@
     let mut phases = Vec::new();
     if options.flood == "least-then-urgent" {
         phases.push(flood(&fleet, &options, "least", 1.0, length, &quiet, &record).await);
-        kill_half(&mut fleet).await;
-        phases.push(flood(&fleet, &options, "urgent", 0.5, length, &quiet, &record).await);
+        let left = kill_half(&mut fleet).await;
+        phases.push(flood(&fleet, &options, "urgent", left, length, &quiet, &record).await);
     } else {
         phases.push(flood(&fleet, &options, &options.flood, 1.0, length, &quiet, &record).await);
     }
@@ -186,7 +186,13 @@
 }
 
 /// Prepares the load of all ranks; one of them may flood.
-fn load(fleet: &Fleet, options: &Options, label: &str, flood: Option<&str>, share: f64) -> Arrivals {
+fn load(
+    fleet: &Fleet,
+    options: &Options,
+    label: &str,
+    flood: Option<&str>,
+    share: f64,
+) -> Arrivals {
     let capacity = options.site.capacity() * share;
     let mut sources = Vec::new();
     for (i, rank) in RANKS.into_iter().enumerate() {
@@ -221,20 +227,20 @@
     quiet: &Tally,
     record: &Record,
 ) -> Value {
-    let started = std::time::Instant::now();
     let tally = load(fleet, options, rank, Some(rank), share).run(length).await;
-    let seconds = started.elapsed().as_secs_f64().min(length.as_secs_f64() + 0.1);
-    judge(options, rank, share, &tally, quiet, seconds, record)
+    judge(options, rank, share, &tally, quiet, length.as_secs_f64(), record)
 }
 
-/// Kills the upstreams of the second half of the VMs; their nodes stay.
-async fn kill_half(fleet: &mut Fleet) {
+/// Kills the upstreams of the second half of the VMs, whose nodes stay; returns the share of
+/// capacity that is left.
+async fn kill_half(fleet: &mut Fleet) -> f64 {
     let half = fleet.vms.len().div_ceil(2);
     for vm in &mut fleet.vms[half..] {
         if let Some(upstream) = vm.upstream.take() {
             upstream.stop().await;
         }
     }
+    half as f64 / fleet.vms.len() as f64
 }
 
 fn judge(
@@ -248,17 +254,16 @@
 ) -> Value {
     let capacity = options.site.capacity() * share;
     let ranks: Vec<_> = RANKS.iter().map(|r| tally.rank(r)).collect();
-    let on_time: u64 = ranks.iter().map(crate::load::RankTally::on_time).sum();
     let answered: u64 = ranks.iter().map(crate::load::RankTally::answered).sum();
-    let goodput = on_time as f64 / seconds;
+    let goodput = tally.on_time_in_window() as f64 / seconds;
     let urgent = &ranks[0];
     let urgent_share = urgent.on_time() as f64 / urgent.offered().max(1) as f64;
     let quiet_p99 = quiet.rank(RANKS[0]).quantile_ms(0.99);
     let delay = urgent.quantile_ms(0.99) - quiet_p99;
     let violations = tally.violations(record);
     let floors_kept = (1..3).all(|i| {
-        let floor = FLOORS[i] * answered as f64;
-        ranks[i].answered() as f64 >= floor.min(ranks[i].offered() as f64)
+        let kept = FLOORS[i] * answered as f64;
+        ranks[i].answered() as f64 >= kept.min(ranks[i].offered() as f64)
     });
     let served = match flood {
         "least" => urgent_share >= URGENT_ON_TIME_BOUND && delay <= SERVICE_MS,
--- a/tally-lab/src/load/arrivals.rs
+++ b/tally-lab/src/load/arrivals.rs
@@ -46,7 +46,7 @@
 impl Arrivals {
     /// Makes calls for `duration` and waits for the last of them.
     pub async fn run(self, duration: Duration) -> Tally {
-        let tally = Arc::new(Mutex::new(Tally::default()));
+        let tally = Arc::new(Mutex::new(Tally::until(Instant::now() + duration)));
         let mut tasks = JoinSet::new();
         for (n, source) in self.sources.into_iter().enumerate() {
             let stream = Stream {
--- a/tally-lab/src/load/tally.rs
+++ b/tally-lab/src/load/tally.rs
@@ -6,6 +6,7 @@
 use goldcresttally_standin::upstream::Record;
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
+use tokio::time::Instant;
 
 use crate::output::rounded;
 
@@ -115,12 +116,25 @@
 #[derive(Debug, Default)]
 pub struct Tally {
     ranks: HashMap<String, RankTally>,
+    /// Until when answers count towards goodput; they always do when absent.
+    window_end: Option<Instant>,
+    on_time_in_window: u64,
     ended: HashMap<String, Vec<Ended>>,
     may_have_run: u64,
     broken: u64,
 }
 
 impl Tally {
+    /// Returns a tally whose goodput counts answers until `window_end` only.
+    pub fn until(window_end: Instant) -> Self {
+        Self { window_end: Some(window_end), ..Self::default() }
+    }
+
+    /// Returns the calls that were answered on time within the window.
+    pub fn on_time_in_window(&self) -> u64 {
+        self.on_time_in_window
+    }
+
     /// Counts a call; `once` says that it must run at most once.
     pub fn add(
         &mut self,
@@ -133,6 +147,9 @@
     ) {
         let tally = self.ranks.entry(rank.to_owned()).or_insert_with(RankTally::new);
         tally.add(outcome, latency, target);
+        let in_window = self.window_end.is_none_or(|end| Instant::now() <= end);
+        let on_time = outcome == Outcome::Answered && latency <= target;
+        self.on_time_in_window += u64::from(in_window && on_time);
         self.may_have_run += u64::from(outcome == Outcome::MayHaveRun);
         self.broken += u64::from(outcome == Outcome::Broken);
         self.ended.entry(id.to_owned()).or_default().push(Ended { once, outcome });
