--- /dev/null
+++ b/goldcresttally-admission/tests/random_events.rs
@@ -0,0 +1,40 @@
+//! Whatever happens in whatever order: limits hold and each call ends once.
+
+mod common;
+
+use common::Bench;
+use goldcresttally_admission::{CallId, Event, Outcome};
+
+#[test]
+fn limits_hold() {
+    arbtest::arbtest(|u| {
+        let limit = u.int_in_range(1..=6)?;
+        let mut bench = Bench::new(limit, u.int_in_range(0..=8)?, &[0.0, 0.2, 0.1]);
+        let mut running: Vec<CallId> = Vec::new();
+        let mut ended = std::collections::BTreeSet::new();
+        for ms in 0..u.int_in_range(0..=80)? {
+            bench.advance_to(ms);
+            match u.int_in_range(0..=9)? {
+                0..=4 => {
+                    let rank = u.int_in_range(0..=3)?;
+                    bench.offer_within(rank, u.int_in_range(0..=50)?, u.int_in_range(0..=50)?);
+                }
+                5..=7 if !running.is_empty() => {
+                    let call = running.swap_remove(u.choose_index(running.len())?);
+                    let outcome = *u.choose(&[Outcome::Answered, Outcome::Shed, Outcome::Failed])?;
+                    bench.finish_with(call, outcome);
+                }
+                8 => bench.step(Event::Withdraw { call: CallId(u.int_in_range(0..=40)?) }),
+                _ => {}
+            }
+            running.extend(bench.dispatched());
+            for (call, _) in bench.refused() {
+                assert!(ended.insert(call), "{call:?} refused twice");
+                assert!(!running.contains(&call));
+            }
+            assert!(bench.running() <= limit as usize);
+            assert_eq!(bench.running(), running.len());
+        }
+        Ok(())
+    });
+}
--- a/goldcresttally-config/src/parse.rs
+++ b/goldcresttally-config/src/parse.rs
@@ -24,7 +24,8 @@
     })
 }
 
-/// Finds the line, counted from 1, at which the value at `path` stands in block-style YAML.
+/// Finds the line, counted from 1, at which the value at `path` stands, or the innermost part of
+/// the path that starts a line.
 pub fn line_of(text: &str, path: &str) -> Option<usize> {
     let mut lines = text.lines().enumerate().peekable();
     let mut found = None;
@@ -32,7 +33,9 @@
         let index = step.strip_suffix(']').and_then(|i| i.parse::<usize>().ok());
         let mut left = index.unwrap_or(0);
         loop {
-            let (i, line) = *lines.peek()?;
+            let Some((i, line)) = lines.peek().copied() else {
+                return found;
+            };
             let line = line.trim_start();
             let hit = match index {
                 Some(_) => line.starts_with("- "),
