--- a/goldcresttally-admission/tests/random_events.rs
+++ b/goldcresttally-admission/tests/random_events.rs
@@ -21,7 +21,8 @@
                 }
                 5..=7 if !running.is_empty() => {
                     let call = running.swap_remove(u.choose_index(running.len())?);
-                    let outcome = *u.choose(&[Outcome::Answered, Outcome::Shed, Outcome::Failed])?;
+                    let outcome =
+                        *u.choose(&[Outcome::Answered, Outcome::Shed, Outcome::Failed])?;
                     bench.finish_with(call, outcome);
                 }
                 8 => bench.step(Event::Withdraw { call: CallId(u.int_in_range(0..=40)?) }),
--- a/goldcresttally-config/tests/manifest_patch.rs
+++ b/goldcresttally-config/tests/manifest_patch.rs
@@ -3,7 +3,10 @@
 use goldcresttally_config::{Digest, Manifest, SectionEntry};
 use goldcresttally_core::Version;
 
-fn manifest(u: &mut arbtest::arbitrary::Unstructured<'_>, version: u64) -> arbtest::arbitrary::Result<Manifest> {
+fn manifest(
+    u: &mut arbtest::arbitrary::Unstructured<'_>,
+    version: u64,
+) -> arbtest::arbitrary::Result<Manifest> {
     let mut sections = Vec::new();
     for name in 0..8 {
         if u.arbitrary()? {
@@ -21,8 +24,7 @@
 fn patch_gives_other() {
     arbtest::arbtest(|u| {
         let (old, new) = (manifest(u, 1)?, manifest(u, 2)?);
-        let patched =
-            old.patched(Version(2), &new.changed_since(&old), &new.removed_since(&old));
+        let patched = old.patched(Version(2), &new.changed_since(&old), &new.removed_since(&old));
         assert_eq!(patched, new);
         assert_eq!(patched.digest(), new.digest());
         Ok(())
--- a/goldcresttally-core/tests/newtype_text.rs
+++ b/goldcresttally-core/tests/newtype_text.rs
@@ -1,6 +1,8 @@
 //! Newtypes read back what they print, and refuse what they never print.
 
-use goldcresttally_core::{AttemptId, ByteSize, NodeId, OperationId, Rate, ServiceName, Share, Verdict};
+use goldcresttally_core::{
+    AttemptId, ByteSize, NodeId, OperationId, Rate, ServiceName, Share, Verdict,
+};
 
 #[test]
 fn printed_values_parse() {
--- a/goldcresttally-distribution/src/machine/mod.rs
+++ b/goldcresttally-distribution/src/machine/mod.rs
@@ -16,6 +16,7 @@
 use crate::update::VersionUpdate;
 use fetch::Fetching;
 pub use options::{Mode, Options};
+use push::PushRetries;
 
 /// Versions whose manifests are kept, so that a difference can be made against them.
 const MANIFEST_HISTORY: usize = 16;
@@ -137,6 +138,7 @@
     gossip_rounds: u32,
     next_gossip: Deadline,
     last_update: Option<Arc<VersionUpdate>>,
+    push_retries: PushRetries,
 }
 
 impl Distribution {
@@ -156,6 +158,7 @@
             gossip_rounds: 0,
             next_gossip: Deadline(now),
             last_update: None,
+            push_retries: PushRetries::default(),
             own,
             options,
         };
@@ -187,7 +190,7 @@
                 self.on_update(now, source, update, actions);
             }
             Event::FetchFailed { source } => self.fetching.failed(now, source),
-            Event::PushFailed { to, update } => self.on_push_failed(to, &update, actions),
+            Event::PushFailed { to, update } => self.on_push_failed(now, to, &update, actions),
             Event::Installed(version) => self.on_installed(now, version, actions),
             Event::Refused(version) => self.on_refused(now, version, actions),
         }
@@ -230,6 +233,7 @@
     fn on_tick(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
         self.poll_if_due(now, actions);
         self.gossip_if_due(now, actions);
+        self.push_again_if_due(now, actions);
     }
 
     fn learn_floor(&mut self, version: Version) {
@@ -253,7 +257,8 @@
         actions: &mut Vec<Action>,
     ) {
         let newest = self.installing.as_ref().map_or(self.version(), |(b, ..)| b.version());
-        if update.version <= newest.max(self.refused) {
+        let floor = self.floor.unwrap_or(Version(0));
+        if update.version <= newest.max(self.refused) || update.version < floor {
             return;
         }
         let bundle = match self.installing {
--- a/goldcresttally-distribution/src/machine/push.rs
+++ b/goldcresttally-distribution/src/machine/push.rs
@@ -1,12 +1,55 @@
 //! Passes a version on: down the tree, over the links between domains, or to random members.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use goldcresttally_core::{Deadline, MonoTime, NodeId};
+use goldcresttally_core::{Deadline, Map, MonoTime, NodeId, Version};
 
 use super::{Action, Distribution, Mode, Source};
 use crate::update::VersionUpdate;
 
+/// Wait before a failed push is tried again, in milliseconds.
+const PUSH_RETRY_MS: u64 = 400;
+
+/// Tries of one push after the first.
+const PUSH_RETRY_LIMIT: u32 = 3;
+
+/// Pushes that failed and are tried again.
+#[derive(Debug, Default)]
+pub(super) struct PushRetries {
+    /// Failures by member, of pushes of the newest version that failed.
+    failures: Map<NodeId, u32>,
+    version: Version,
+    waiting: Vec<(Deadline, NodeId, Arc<VersionUpdate>)>,
+}
+
+impl PushRetries {
+    fn is_first_failure(&self, to: NodeId, update: &VersionUpdate) -> bool {
+        update.version > self.version || !self.failures.contains_key(&to)
+    }
+
+    fn add(&mut self, due: Deadline, to: NodeId, update: &Arc<VersionUpdate>) {
+        if update.version > self.version {
+            *self = Self { version: update.version, ..Self::default() };
+        }
+        let failures = self.failures.entry(to).or_default();
+        *failures += 1;
+        // A later version makes this one needless; a member that stays away fetches it itself.
+        if update.version == self.version && *failures <= PUSH_RETRY_LIMIT {
+            self.waiting.push((due, to, Arc::clone(update)));
+        }
+    }
+
+    fn take_due(&mut self, now: MonoTime, current: Version) -> Vec<(NodeId, Arc<VersionUpdate>)> {
+        let ended = |(due, _, update): &mut (Deadline, NodeId, Arc<VersionUpdate>)| {
+            due.is_past(now) || update.version < current
+        };
+        let ended = self.waiting.extract_if(.., ended);
+        let wanted = ended.filter(|(_, _, update)| update.version >= current);
+        wanted.map(|(_, to, update)| (to, update)).collect()
+    }
+}
+
 impl Distribution {
     pub(super) fn pass_on(
         &mut self,
@@ -53,13 +96,31 @@
         push_to(&targets, update, actions);
     }
 
-    /// Takes over for a member that cannot be reached: pushes to those that it would push to.
+    /// Takes over for a member that cannot be reached: pushes to those that it would push to, and
+    /// to the member itself a little later.
     pub(super) fn on_push_failed(
         &mut self,
+        now: MonoTime,
         to: NodeId,
         update: &Arc<VersionUpdate>,
         actions: &mut Vec<Action>,
     ) {
+        if self.push_retries.is_first_failure(to, update) {
+            self.adopt_children(to, update, actions);
+        }
+        let jitter = 0.75 + 0.5 * self.rng.f64();
+        let wait = Duration::from_millis(PUSH_RETRY_MS).mul_f64(jitter);
+        self.push_retries.add(Deadline::after(now, wait), to, update);
+    }
+
+    pub(super) fn push_again_if_due(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        let current = self.version().max(self.refused);
+        for (to, update) in self.push_retries.take_due(now, current) {
+            actions.push(Action::Push { to, update });
+        }
+    }
+
+    fn adopt_children(&self, to: NodeId, update: &Arc<VersionUpdate>, actions: &mut Vec<Action>) {
         let members = self.topology.own_domain();
         let position = members.iter().position(|id| *id == to);
         let Some(position) = position.filter(|_| self.options.mode == Mode::Tree) else {
--- /dev/null
+++ b/goldcresttally-distribution/tests/common/mod.rs
@@ -0,0 +1,282 @@
+//! Documents, and several machines with a table between them, in memory.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use goldcresttally_config::{Manifest, SectionEntry};
+use goldcresttally_core::{MonoTime, NodeId, Version};
+use goldcresttally_distribution::{
+    Action, Bundle, ChangedSection, Distribution, Event, Options, Peer, Source, VersionUpdate,
+};
+
+/// Interval of ticks and of deliveries, in milliseconds.
+const STEP_MS: u64 = 20;
+
+pub fn node(n: usize) -> NodeId {
+    NodeId(format!("127.0.{}.{}:7400", n / 200, n % 200 + 1).parse().unwrap())
+}
+
+pub fn peer(n: usize, domains: usize) -> Peer {
+    Peer { id: node(n), domain: format!("d{}", n % domains).parse().unwrap() }
+}
+
+/// The sections of a version: section `s` changes in every third version or so.
+pub fn sections(version: u64) -> Vec<ChangedSection> {
+    let section = |s: u64| ChangedSection {
+        name: format!("s{s}").parse().unwrap(),
+        body: Arc::from(format!("# {s} {}", version / (s + 1))),
+    };
+    (0..4).map(section).collect()
+}
+
+pub fn manifest(version: u64) -> Manifest {
+    let entries: Vec<SectionEntry> = sections(version).iter().map(ChangedSection::entry).collect();
+    Manifest::new(Version(version), entries)
+}
+
+pub fn complete(version: u64) -> VersionUpdate {
+    VersionUpdate {
+        version: Version(version),
+        base: Version(0),
+        manifest: manifest(version).digest(),
+        changed: sections(version),
+        removed: Vec::new(),
+    }
+}
+
+pub fn difference(base: u64, version: u64) -> VersionUpdate {
+    if base == 0 {
+        return complete(version);
+    }
+    let bundle = Bundle::default().patched(&complete(version)).unwrap();
+    bundle.update_from(&manifest(base))
+}
+
+/// A message on its way.
+enum Delivery {
+    To(usize, Event),
+    /// A fetch that asks a peer, to be answered by what the peer has when it arrives.
+    Fetch {
+        asker: usize,
+        peer: usize,
+        known: Version,
+    },
+}
+
+pub struct Fleet {
+    pub now: MonoTime,
+    pub machines: Vec<Option<Distribution>>,
+    pub in_force: Vec<u64>,
+    pub head: u64,
+    pub table_up: bool,
+    pub reads: u64,
+    pub pushes: u64,
+    /// Versions that nodes find invalid.
+    pub bad: BTreeSet<u64>,
+    pub cut: BTreeSet<usize>,
+    pub loss: f64,
+    pub duplicates: f64,
+    pub log: Vec<String>,
+    domains: usize,
+    options: Options,
+    rng: fastrand::Rng,
+    in_flight: BTreeMap<(MonoTime, u64), Delivery>,
+    serial: u64,
+}
+
+impl Fleet {
+    pub fn start(count: usize, domains: usize, options: Options, seed: u64) -> Self {
+        let mut fleet = Self {
+            now: MonoTime::from_millis(1000),
+            machines: Vec::new(),
+            in_force: vec![0; count],
+            head: 0,
+            table_up: true,
+            reads: 0,
+            pushes: 0,
+            bad: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            duplicates: 0.0,
+            log: Vec::new(),
+            domains,
+            options,
+            rng: fastrand::Rng::with_seed(seed),
+            in_flight: BTreeMap::new(),
+            serial: 0,
+        };
+        for n in 0..count {
+            fleet.machines.push(None);
+            fleet.boot(n);
+        }
+        for n in 0..count {
+            fleet.see_all(n);
+            fleet.event(n, Event::FloorLearned(Version(0)));
+        }
+        fleet
+    }
+
+    pub fn boot(&mut self, n: usize) {
+        let seed = self.rng.u64(..);
+        let own = peer(n, self.domains);
+        self.machines[n] = Some(Distribution::new(self.options.clone(), own, seed, self.now));
+    }
+
+    /// Lets a machine see all others that run on its side of a cut.
+    pub fn see_all(&mut self, n: usize) {
+        let others = (0..self.machines.len()).filter(|o| *o != n && self.reaches(n, *o));
+        let others = others.filter(|o| self.machines[*o].is_some());
+        let others: Vec<_> = others.map(|o| peer(o, self.domains)).collect();
+        self.event(n, Event::Members(others));
+    }
+
+    fn reaches(&self, a: usize, b: usize) -> bool {
+        self.cut.contains(&a) == self.cut.contains(&b)
+    }
+
+    pub fn event(&mut self, n: usize, event: Event) {
+        let Some(machine) = &mut self.machines[n] else { return };
+        let mut actions = Vec::new();
+        machine.on_event(self.now, event, &mut actions);
+        for action in actions {
+            self.perform(n, action);
+        }
+    }
+
+    fn perform(&mut self, n: usize, action: Action) {
+        match action {
+            Action::Poll => {
+                self.reads += 1;
+                let head = Event::HeadRead {
+                    version: Version(self.head),
+                    manifest: (self.head > 0).then(|| manifest(self.head).digest()),
+                };
+                let up = self.table_up && !self.cut.contains(&n);
+                self.deliver(n, if up { head } else { Event::PollFailed });
+            }
+            Action::Fetch { source: Source::Platform, known, .. } => {
+                let source = Source::Platform;
+                let up = self.table_up && !self.cut.contains(&n);
+                let update = Arc::new(difference(known.0, self.head));
+                let fetched = Event::Fetched { source, update };
+                self.deliver(n, if up { fetched } else { Event::FetchFailed { source } });
+            }
+            Action::Fetch { source: Source::Peer(from), known, .. } => {
+                let peer = self.index(from);
+                self.later(Delivery::Fetch { asker: n, peer, known });
+            }
+            Action::Install(bundle) => self.install(n, &bundle),
+            Action::Push { to, update } => self.push(n, to, update),
+            Action::Ready(version) => {
+                self.log.push(format!("{} node {n} ready at {version}", self.now))
+            }
+        }
+    }
+
+    fn install(&mut self, n: usize, bundle: &Bundle) {
+        let version = bundle.version();
+        // Closed and whole: exactly what the version holds, never a mixture.
+        let held: Vec<_> = bundle.sections();
+        let expected: Vec<_> = sections(version.0).into_iter().map(|s| (s.name, s.body)).collect();
+        assert_eq!(held, expected, "node {n} got a mixture for version {version}");
+        if self.bad.contains(&version.0) {
+            self.event(n, Event::Refused(version));
+            return;
+        }
+        assert!(
+            version.0 > self.in_force[n],
+            "node {n} went back from {} to {version}",
+            self.in_force[n]
+        );
+        self.in_force[n] = version.0;
+        self.log.push(format!("{} node {n} has version {version} in force", self.now));
+        self.event(n, Event::Installed(version));
+    }
+
+    fn push(&mut self, n: usize, to: NodeId, update: Arc<VersionUpdate>) {
+        self.pushes += 1;
+        let target = self.index(to);
+        let arrives = self.reaches(n, target) && self.machines[target].is_some();
+        if !arrives || self.rng.f64() < self.loss {
+            self.deliver(n, Event::PushFailed { to, update });
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.f64() < self.duplicates);
+        for _ in 0..copies {
+            self.deliver(target, Event::Pushed { from: node(n), update: Arc::clone(&update) });
+        }
+    }
+
+    fn index(&self, id: NodeId) -> usize {
+        (0..self.machines.len()).find(|n| node(*n) == id).unwrap()
+    }
+
+    fn deliver(&mut self, to: usize, event: Event) {
+        self.later(Delivery::To(to, event));
+    }
+
+    fn later(&mut self, delivery: Delivery) {
+        self.serial += 1;
+        let delay = Duration::from_millis(self.rng.u64(1..60));
+        self.in_flight.insert((self.now + delay, self.serial), delivery);
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + Duration::from_millis(ms);
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(STEP_MS);
+            let later = self.in_flight.split_off(&(self.now, u64::MAX));
+            for (_, delivery) in std::mem::replace(&mut self.in_flight, later) {
+                match delivery {
+                    Delivery::To(n, event) => self.event(n, event),
+                    Delivery::Fetch { asker, peer, known } => self.answer_fetch(asker, peer, known),
+                }
+            }
+            for n in 0..self.machines.len() {
+                self.event(n, Event::Tick);
+            }
+            self.probe();
+        }
+    }
+
+    fn answer_fetch(&mut self, asker: usize, peer: usize, known: Version) {
+        let source = Source::Peer(node(peer));
+        let held = self.machines[peer].as_ref().filter(|_| self.reaches(asker, peer));
+        let event = match held.filter(|m| m.version() > known) {
+            Some(machine) => {
+                Event::Fetched { source, update: Arc::new(machine.update_since(known)) }
+            }
+            None => Event::FetchFailed { source },
+        };
+        self.deliver(asker, event);
+    }
+
+    /// Stands in for membership: each node pings one other in each second, and both learn the
+    /// other's version.
+    fn probe(&mut self) {
+        let count = self.machines.len();
+        for n in 0..count {
+            let phase = n as u64 * 37 % (1000 / STEP_MS);
+            let due = self.now.0 / 1000 / STEP_MS % (1000 / STEP_MS) == phase;
+            let other = self.rng.usize(..count);
+            let lost = self.rng.f64() < self.loss;
+            if due && !lost && other != n && self.reaches(n, other) {
+                self.tell_version(other, n);
+                self.tell_version(n, other);
+            }
+        }
+    }
+
+    fn tell_version(&mut self, from: usize, to: usize) {
+        let Some(machine) = &self.machines[from] else { return };
+        let (from, version) = (node(from), machine.version());
+        self.event(to, Event::PeerVersion { from, version });
+    }
+
+    pub fn lagging(&self) -> Vec<usize> {
+        let running = (0..self.machines.len()).filter(|n| self.machines[*n].is_some());
+        running.filter(|n| self.in_force[*n] < self.head).collect()
+    }
+}
--- /dev/null
+++ b/goldcresttally-distribution/tests/herd_polling.rs
@@ -0,0 +1,69 @@
+//! However the fleet falls apart, its reads of the table stay under the stated share.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{node, peer};
+use goldcresttally_core::MonoTime;
+use goldcresttally_distribution::{Action, Distribution, Event, Options, Peer};
+
+/// Nodes of the fleet in two years.
+const FLEET: usize = 3700;
+
+/// A tenth of the 2,000 reads per second that the platform takes.
+const READS_BOUND_PER_S: f64 = 200.0;
+
+/// Counts the reads of a fleet whose nodes see only the others of their group.
+fn reads_per_s(group: usize, seconds: u64) -> f64 {
+    let options = Options { fleet_size: FLEET as u32, ..Options::default() };
+    let start = MonoTime::from_millis(1000);
+    let mut machines: Vec<_> = (0..FLEET)
+        .map(|n| {
+            let own = Peer { id: node(n), domain: "d".parse().unwrap() };
+            let mut machine = Distribution::new(options.clone(), own, n as u64, start);
+            let first = n / group * group;
+            let others = (first..(first + group).min(FLEET)).filter(|o| *o != n);
+            let others =
+                others.map(|o| Peer { domain: "d".parse().unwrap(), ..peer(o, 1) }).collect();
+            machine.on_event(start, Event::Members(others), &mut Vec::new());
+            machine
+        })
+        .collect();
+    let mut reads = 0;
+    let mut actions = Vec::new();
+    for tick in 0..seconds * 5 {
+        let now = start + Duration::from_millis(tick * 200);
+        for machine in &mut machines {
+            machine.on_event(now, Event::Tick, &mut actions);
+            let polls = actions.drain(..).filter(|a| matches!(a, Action::Poll)).count();
+            reads += polls;
+            for _ in 0..polls {
+                let event =
+                    Event::HeadRead { version: goldcresttally_core::Version(0), manifest: None };
+                machine.on_event(now, event, &mut actions);
+            }
+        }
+    }
+    reads as f64 / seconds as f64
+}
+
+#[test]
+fn lone_nodes() {
+    let rate = reads_per_s(1, 30);
+    assert!(rate <= READS_BOUND_PER_S, "{rate} reads a second");
+}
+
+#[test]
+fn small_groups() {
+    for group in [3, 20] {
+        let rate = reads_per_s(group, 15);
+        assert!(rate <= READS_BOUND_PER_S, "groups of {group}: {rate} reads a second");
+    }
+}
+
+#[test]
+fn whole_domains() {
+    let rate = reads_per_s(370, 10);
+    assert!(rate <= 25.0, "{rate} reads a second");
+}
--- a/goldcresttally-ledger/tests/fencing.rs
+++ b/goldcresttally-ledger/tests/fencing.rs
@@ -117,7 +117,10 @@
         let mut now = NOW;
         for _ in 0..u.int_in_range(0..=60)? {
             now = now + Duration::from_millis(u.int_in_range(0..=4000)?);
-            let id = AttemptId { generation: Generation(u.int_in_range(1..=3)?), ..id(u.int_in_range(1..=4)?) };
+            let id = AttemptId {
+                generation: Generation(u.int_in_range(1..=3)?),
+                ..id(u.int_in_range(1..=4)?)
+            };
             let deadline = Deadline::after(now, Duration::from_millis(500));
             match u.int_in_range(0..=5)? {
                 0 => drop(ledger.begin(now, id, deadline, None)),
--- a/goldcresttally-membership/tests/common/mod.rs
+++ b/goldcresttally-membership/tests/common/mod.rs
@@ -78,8 +78,7 @@
         let seed = self.rng.u64(..);
         let machine = Membership::new(Options::default(), own.clone(), seed, self.now);
         self.machines[n] = Some(machine);
-        let known: Vec<Record> =
-            self.machines.iter().flatten().map(|m| m.own().clone()).collect();
+        let known: Vec<Record> = self.machines.iter().flatten().map(|m| m.own().clone()).collect();
         self.event(n, Event::Learned(known));
         for other in 0..self.machines.len() {
             if other != n {
@@ -127,7 +126,8 @@
             let paused = &self.paused;
             let now = self.now;
             let due = |(at, to, _): &(MonoTime, usize, Message)| *at <= now && !paused.contains(to);
-            let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.in_flight).into_iter().partition(due);
+            let (due, later): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.in_flight).into_iter().partition(due);
             self.in_flight = later;
             for (_, to, message) in due {
                 self.event(to, Event::Received(message));
--- a/goldcresttally-membership/tests/failure_detection.rs
+++ b/goldcresttally-membership/tests/failure_detection.rs
@@ -64,7 +64,11 @@
         net.event(7, Event::UpstreamsChanged(common::upstream(UpstreamState::Draining)));
         net.run(2000);
         for n in (0..60).filter(|n| *n != 7) {
-            assert_eq!(net.upstream_state(n, 7), Some(UpstreamState::Draining), "seed {seed}: at {n}");
+            assert_eq!(
+                net.upstream_state(n, 7),
+                Some(UpstreamState::Draining),
+                "seed {seed}: at {n}"
+            );
         }
     }
 }
@@ -101,7 +105,8 @@
     // The old process at the address wakes up beside the new one's record.
     net.boot(1, 4);
     net.run(3000);
-    let superseded = net.actions.iter().any(|(n, a)| *n == 1 && matches!(a, Action::Superseded { .. }));
+    let superseded =
+        net.actions.iter().any(|(n, a)| *n == 1 && matches!(a, Action::Superseded { .. }));
     assert!(superseded);
 }
 
@@ -113,7 +118,9 @@
     net.run(5000);
     net.kill(2);
     net.run(30_000);
-    let floors: Vec<_> =
-        [0, 1, 3].iter().map(|n| net.machines[*n].as_ref().unwrap().version_floor(node(2)).0).collect();
+    let floors: Vec<_> = [0, 1, 3]
+        .iter()
+        .map(|n| net.machines[*n].as_ref().unwrap().version_floor(node(2)).0)
+        .collect();
     assert!(floors.contains(&17), "{floors:?}");
 }
--- a/goldcresttally-routing/tests/endpoint_choice.rs
+++ b/goldcresttally-routing/tests/endpoint_choice.rs
@@ -38,7 +38,11 @@
 
 #[test]
 fn own_domain_first() {
-    let list = [endpoint(1, Locality::Remote), endpoint(2, Locality::Domain), endpoint(3, Locality::Region)];
+    let list = [
+        endpoint(1, Locality::Remote),
+        endpoint(2, Locality::Domain),
+        endpoint(3, Locality::Region),
+    ];
     assert_eq!(pick(&list, &[]), Some(2));
     list[1].observed.start(0);
     list[1].observed.start(0);
--- a/goldcresttally-wire/schema/wire.capnp
+++ b/goldcresttally-wire/schema/wire.capnp
@@ -1,6 +1,8 @@
 @0xd1f0a94c5be27a63;
 
-# Messages between nodes. Addresses are text, "IP:port"; digests are 32 bytes.
+# Messages between nodes. Digests are 32 bytes. An IP number is two words that hold an IPv6
+# address, an IPv4 address being mapped into it (RFC 4291, section 2.5.5.2); the packed encoding
+# leaves out their zero bytes.
 
 enum Status {
   alive @0;
@@ -22,32 +24,45 @@
 }
 
 struct Record {
-  id @0 :Text;
-  peer @1 :Text;
-  operator @2 :Text;
-  domain @3 :Text;
-  region @4 :Text;
-  generation @5 :UInt64;
-  incarnation @6 :UInt64;
-  status @7 :Status;
-  leaving @8 :Bool;
-  upstreams @9 :List(Upstream);
+  ipHigh @0 :UInt64;
+  ipLow @1 :UInt64;
+  # IP number of the control listener.
+  controlPort @2 :UInt16;
+  peerIpHigh @3 :UInt64;
+  peerIpLow @4 :UInt64;
+  # Zero when it is that of the control listener.
+  peerPort @5 :UInt16;
+  operatorIpHigh @6 :UInt64;
+  operatorIpLow @7 :UInt64;
+  # Zero when it is that of the control listener.
+  operatorPort @8 :UInt16;
+  domain @9 :Text;
+  region @10 :Text;
+  generation @11 :UInt64;
+  incarnation @12 :UInt64;
+  status @13 :Status;
+  leaving @14 :Bool;
+  upstreams @15 :List(Upstream);
 }
 
 struct Datagram {
-  from @0 :Text;
-  generation @1 :UInt64;
-  version @2 :UInt64;
-  refused @3 :UInt64;
-  updates @4 :List(Record);
+  fromIpHigh @0 :UInt64;
+  fromIpLow @1 :UInt64;
+  fromPort @2 :UInt16;
+  generation @3 :UInt64;
+  version @4 :UInt64;
+  refused @5 :UInt64;
+  updates @6 :List(Record);
   body :union {
-    ping @5 :UInt64;
+    ping @7 :UInt64;
     pingRequest :group {
-      sequence @6 :UInt64;
-      target @7 :Text;
+      sequence @8 :UInt64;
+      targetIpHigh @9 :UInt64;
+      targetIpLow @10 :UInt64;
+      targetPort @11 :UInt16;
     }
-    ack @8 :UInt64;
-    gossip @9 :Void;
+    ack @12 :UInt64;
+    gossip @13 :Void;
   }
 }
 
--- a/goldcresttally-wire/src/datagram.rs
+++ b/goldcresttally-wire/src/datagram.rs
@@ -1,19 +1,25 @@
 //! Whole datagrams, in the packed encoding.
 
+use std::net::SocketAddr;
+
 use capnp::message::Builder;
 use capnp::serialize_packed;
-use goldcresttally_core::{Generation, Version};
+use goldcresttally_core::{Generation, NodeId, Version};
 use goldcresttally_membership::{Body, Header, Message};
 
 use crate::errors::{Error, Result};
 use crate::wire_capnp::datagram;
-use crate::{DATAGRAM_LIMIT_BYTES, reader_options, record};
+use crate::{DATAGRAM_LIMIT_BYTES, address, reader_options, record};
 
 /// Encodes `message`.
 pub fn encode(message: &Message) -> Result<Vec<u8>> {
     let mut builder = Builder::new_default();
     let mut to = builder.init_root::<datagram::Builder<'_>>();
-    to.set_from(message.header.from.to_string());
+    let from = message.header.from.0;
+    let (high, low) = address::words(from.ip());
+    to.set_from_ip_high(high);
+    to.set_from_ip_low(low);
+    to.set_from_port(from.port());
     to.set_generation(message.header.generation.0);
     to.set_version(message.header.version.0);
     to.set_refused(message.header.refused.0);
@@ -33,11 +39,18 @@
         Body::PingRequest { sequence, target } => {
             let mut to = to.init_ping_request();
             to.set_sequence(*sequence);
-            to.set_target(target.to_string());
+            let (high, low) = address::words(target.0.ip());
+            to.set_target_ip_high(high);
+            to.set_target_ip_low(low);
+            to.set_target_port(target.0.port());
         }
     }
 }
 
+fn node(high: u64, low: u64, port: u16) -> NodeId {
+    NodeId(SocketAddr::new(address::ip(high, low), port))
+}
+
 /// Decodes a datagram.
 pub fn decode(bytes: &[u8]) -> Result<Message> {
     if bytes.len() > DATAGRAM_LIMIT_BYTES {
@@ -46,7 +59,7 @@
     let reader = serialize_packed::read_message(bytes, reader_options())?;
     let from = reader.get_root::<datagram::Reader<'_>>()?;
     let header = Header {
-        from: from.get_from()?.to_str()?.parse()?,
+        from: node(from.get_from_ip_high(), from.get_from_ip_low(), from.get_from_port()),
         generation: Generation(from.get_generation()),
         version: Version(from.get_version()),
         refused: Version(from.get_refused()),
@@ -57,7 +70,11 @@
         datagram::body::Gossip(()) => Body::Gossip,
         datagram::body::PingRequest(request) => Body::PingRequest {
             sequence: request.get_sequence(),
-            target: request.get_target()?.to_str()?.parse()?,
+            target: node(
+                request.get_target_ip_high(),
+                request.get_target_ip_low(),
+                request.get_target_port(),
+            ),
         },
     };
     Ok(Message { header, body, updates: record::read_list(from.get_updates()?)? })
--- a/goldcresttally-wire/src/lib.rs
+++ b/goldcresttally-wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`update`]: version updates.
 //! * [`errors`]: the error of this crate.
 
+mod address;
 pub mod datagram;
 pub mod errors;
 mod generated;
--- a/goldcresttally-wire/src/record.rs
+++ b/goldcresttally-wire/src/record.rs
@@ -1,19 +1,16 @@
 //! Membership records.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
-use goldcresttally_core::errors::invalid;
-use goldcresttally_core::{Generation, Incarnation};
+use goldcresttally_core::{Generation, Incarnation, NodeId};
 use goldcresttally_membership::{Record, Status, Upstream, UpstreamState};
 
 use crate::errors::Result;
-use crate::wire_capnp;
+use crate::{address, wire_capnp};
 
 /// Writes `record`.
 pub fn write(record: &Record, mut to: wire_capnp::record::Builder<'_>) {
-    to.set_id(record.id.to_string());
-    to.set_peer(record.peer.to_string());
-    to.set_operator(record.operator.to_string());
+    write_addresses(record, to.reborrow());
     to.set_domain(record.domain.as_str());
     to.set_region(record.region.as_str());
     to.set_generation(record.generation.0);
@@ -39,10 +36,13 @@
             state: read_state(upstream.get_state()?),
         });
     }
+    let control = address::ip(from.get_ip_high(), from.get_ip_low());
+    let peer = (from.get_peer_ip_high(), from.get_peer_ip_low());
+    let operator = (from.get_operator_ip_high(), from.get_operator_ip_low());
     Ok(Record {
-        id: from.get_id()?.to_str()?.parse()?,
-        peer: read_address(from.get_peer()?.to_str()?)?,
-        operator: read_address(from.get_operator()?.to_str()?)?,
+        id: NodeId(SocketAddr::new(control, from.get_control_port())),
+        peer: SocketAddr::new(ip_or(control, peer), from.get_peer_port()),
+        operator: SocketAddr::new(ip_or(control, operator), from.get_operator_port()),
         domain: from.get_domain()?.to_str()?.parse()?,
         region: from.get_region()?.to_str()?.parse()?,
         generation: Generation(from.get_generation()),
@@ -70,11 +70,29 @@
     from.iter().map(read).collect()
 }
 
-fn read_address(text: &str) -> Result<SocketAddr> {
-    match text.parse() {
-        Ok(address) => Ok(address),
-        Err(_) => Ok(invalid("address", text, "IP:port")?),
+fn write_addresses(record: &Record, mut to: wire_capnp::record::Builder<'_>) {
+    let control = record.id.0.ip();
+    let (high, low) = address::words(control);
+    to.set_ip_high(high);
+    to.set_ip_low(low);
+    to.set_control_port(record.id.0.port());
+    to.set_peer_port(record.peer.port());
+    to.set_operator_port(record.operator.port());
+    if record.peer.ip() != control {
+        let (high, low) = address::words(record.peer.ip());
+        to.set_peer_ip_high(high);
+        to.set_peer_ip_low(low);
     }
+    if record.operator.ip() != control {
+        let (high, low) = address::words(record.operator.ip());
+        to.set_operator_ip_high(high);
+        to.set_operator_ip_low(low);
+    }
+}
+
+/// Returns the IP number that two words hold, or the control listener's when they are zero.
+fn ip_or(control: IpAddr, (high, low): (u64, u64)) -> IpAddr {
+    if (high, low) == (0, 0) { control } else { address::ip(high, low) }
 }
 
 fn write_status(status: Status) -> wire_capnp::Status {
--- /dev/null
+++ b/goldcresttally-wire/tests/decoders.rs
@@ -0,0 +1,151 @@
+//! Whatever bytes come from a peer, decoding ends in a message or an error.
+
+use std::sync::Arc;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use goldcresttally_config::Digest;
+use goldcresttally_core::{Generation, Incarnation, NodeId, Version};
+use goldcresttally_distribution::{ChangedSection, VersionUpdate};
+use goldcresttally_membership::{Body, Header, Message, Record, Status, Upstream, UpstreamState};
+use goldcresttally_wire::wire_capnp::version_update;
+use goldcresttally_wire::{DATAGRAM_LIMIT_BYTES, datagram, reader_options, update};
+
+fn node(u: &mut Unstructured<'_>) -> Result<NodeId> {
+    Ok(NodeId((u.arbitrary::<[u8; 4]>()?, u.arbitrary::<u16>()?).into()))
+}
+
+fn record(u: &mut Unstructured<'_>) -> Result<Record> {
+    let state =
+        *u.choose(&[UpstreamState::Starting, UpstreamState::Ready, UpstreamState::Draining])?;
+    let upstream = Upstream { service: "booking".parse().unwrap(), slots: u.arbitrary()?, state };
+    Ok(Record {
+        id: node(u)?,
+        peer: node(u)?.0,
+        operator: node(u)?.0,
+        domain: "no-east-1".parse().unwrap(),
+        region: "no-east".parse().unwrap(),
+        generation: Generation(u.arbitrary()?),
+        incarnation: Incarnation(u.arbitrary()?),
+        status: *u.choose(&[Status::Alive, Status::Suspect, Status::Dead, Status::Left])?,
+        leaving: u.arbitrary()?,
+        upstreams: if u.arbitrary()? { vec![upstream] } else { Vec::new() },
+    })
+}
+
+fn message(u: &mut Unstructured<'_>) -> Result<Message> {
+    let header = Header {
+        from: node(u)?,
+        generation: Generation(u.arbitrary()?),
+        version: Version(u.arbitrary()?),
+        refused: Version(u.arbitrary()?),
+    };
+    let body = match u.int_in_range(0..=3)? {
+        0 => Body::Ping { sequence: u.arbitrary()? },
+        1 => Body::Ack { sequence: u.arbitrary()? },
+        2 => Body::PingRequest { sequence: u.arbitrary()?, target: node(u)? },
+        _ => Body::Gossip,
+    };
+    let updates = (0..u.int_in_range(0..=10)?).map(|_| record(u)).collect::<Result<_>>()?;
+    Ok(Message { header, body, updates })
+}
+
+#[test]
+fn datagrams_round_trip() {
+    arbtest::arbtest(|u| {
+        let message = message(u)?;
+        let bytes = datagram::encode(&message).unwrap();
+        assert!(bytes.len() <= DATAGRAM_LIMIT_BYTES, "{} bytes", bytes.len());
+        assert_eq!(datagram::decode(&bytes).unwrap(), message);
+        Ok(())
+    });
+}
+
+#[test]
+fn full_datagram_fits_a_packet() {
+    // Ten records, as many as one datagram carries, fit an Ethernet packet.
+    let mut updates = Vec::new();
+    for n in 0..10u8 {
+        updates.push(Record {
+            id: NodeId(([10, 200, 250, n], 7400).into()),
+            peer: ([10, 200, 250, n], 7401).into(),
+            operator: ([10, 200, 250, n], 7403).into(),
+            domain: "slavonski-brod".parse().unwrap(),
+            region: "slavonija".parse().unwrap(),
+            generation: Generation(1_796_365_485_123),
+            incarnation: Incarnation(12),
+            status: Status::Alive,
+            leaving: false,
+            upstreams: vec![Upstream {
+                service: "certificates".parse().unwrap(),
+                slots: 6,
+                state: UpstreamState::Ready,
+            }],
+        });
+    }
+    let header = Header {
+        from: updates[0].id,
+        generation: Generation(1_796_365_485_123),
+        version: Version(100_000),
+        refused: Version(0),
+    };
+    let message = Message { header, body: Body::Ping { sequence: 1 << 40 }, updates };
+    let bytes = datagram::encode(&message).unwrap();
+    assert!(bytes.len() <= 1400, "{} bytes", bytes.len());
+}
+
+#[test]
+fn arbitrary_bytes_are_refused() {
+    arbtest::arbtest(|u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        let _ = datagram::decode(&bytes);
+        Ok(())
+    });
+}
+
+#[test]
+fn spoilt_datagrams_are_refused() {
+    arbtest::arbtest(|u| {
+        let mut bytes = datagram::encode(&message(u)?).unwrap();
+        for _ in 0..u.int_in_range(1..=6)? {
+            let at = u.choose_index(bytes.len())?;
+            bytes[at] = u.arbitrary()?;
+        }
+        bytes.truncate(u.int_in_range(0..=bytes.len())?);
+        let _ = datagram::decode(&bytes);
+        Ok(())
+    });
+}
+
+#[test]
+fn oversized_datagram() {
+    let error = datagram::decode(&vec![0; DATAGRAM_LIMIT_BYTES + 1]).unwrap_err();
+    assert!(error.to_string().contains("over the limit"), "{error}");
+}
+
+#[test]
+fn updates_round_trip() {
+    arbtest::arbtest(|u| {
+        let mut changed = Vec::new();
+        for n in 0..u.int_in_range(0..=4)? {
+            let body: String = u.arbitrary()?;
+            changed.push(ChangedSection {
+                name: format!("s{n}").parse().unwrap(),
+                body: Arc::from(body),
+            });
+        }
+        let sent = VersionUpdate {
+            version: Version(u.arbitrary()?),
+            base: Version(u.arbitrary()?),
+            manifest: Digest(u.arbitrary()?),
+            changed,
+            removed: vec!["gone".parse().unwrap()],
+        };
+        let mut builder = capnp::message::Builder::new_default();
+        update::write(&sent, builder.init_root());
+        let words = capnp::serialize::write_message_to_words(&builder);
+        let reader = capnp::serialize::read_message(&words[..], reader_options()).unwrap();
+        let root = reader.get_root::<version_update::Reader<'_>>().unwrap();
+        assert_eq!(update::read(root).unwrap(), sent);
+        Ok(())
+    });
+}
