Tests of broken connections, upstream answers and keys on real sockets; what they found

Found and mended: a call whose first attempt was lost came late and was refused even by an idle upstream (admission: a free slot is always given, a late call waits behind the others); the entry throttle took a burst of calls in flight for refusals (it counts ended calls only); a node that was stopped left its listener to an aborted task, so that a restart at once failed to bind.

--- a/goldcresttally-admission/src/machine.rs
+++ b/goldcresttally-admission/src/machine.rs
@@ -176,8 +176,13 @@
     pub fn on_event(&mut self, now: MonoTime, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Offer { call, rank, deadline, on_time_by, target } => {
-                let start_by = self.start_by(now, deadline, on_time_by, target);
-                self.on_offer(now, rank, Waiting { call, start_by, arrived: now }, actions);
+                let late = on_time_by.is_past(now);
+                let patience =
+                    if late { None } else { Some(self.patience(now, on_time_by, target)) };
+                let start_by = self.start_by(now, deadline, patience);
+                // A call that is late already must not make others late.
+                let lane = if late { self.options.floors.len().max(rank) } else { rank };
+                self.on_offer(now, lane, Waiting { call, start_by, arrived: now }, actions);
             }
             Event::Finish { call, outcome } => self.on_finish(now, call, outcome),
             Event::Withdraw { call } => {
@@ -215,26 +220,33 @@
         self.options = options;
     }
 
-    /// Returns until when it makes sense to let a call wait.
+    /// Returns how long a call may wait and still be on time.
     ///
     /// Calls that wait until they are late only make those behind them late too. Where the target
     /// is hardly above the service time, one service time of waiting is allowed all the same, or
     /// everything would be refused.
-    fn start_by(
-        &self,
-        now: MonoTime,
-        deadline: Deadline,
-        on_time_by: Deadline,
-        target: Duration,
-    ) -> Deadline {
-        let service_time = self.limit.service_time().unwrap_or(Duration::ZERO);
+    fn patience(&self, now: MonoTime, on_time_by: Deadline, target: Duration) -> Duration {
+        let service_time = self.service_time();
         let usual = service_time.mul_f64(SERVICE_TIME_MARGIN);
+        let spare = on_time_by.remaining(now).saturating_sub(usual);
         let tight = target < 2 * service_time;
-        let patience = on_time_by.remaining(now).saturating_sub(usual);
-        let patience = if tight { patience.max(service_time) } else { patience };
+        // A call that finds a free slot need not wait at all.
+        let least = if tight { service_time } else { Duration::from_millis(1) };
+        spare.max(least)
+    }
+
+    /// Returns until when a call must start to be answered before its deadline, and within its
+    /// patience where that is known.
+    fn start_by(&self, now: MonoTime, deadline: Deadline, patience: Option<Duration>) -> Deadline {
+        let service_time = self.service_time();
         // Half of the usual service time may be enough for one call.
         let last = deadline.remaining(now).saturating_sub(service_time.div_f64(2.0));
-        Deadline::after(now, if service_time.is_zero() { last } else { patience.min(last) })
+        let patience = patience.filter(|_| !service_time.is_zero());
+        Deadline::after(now, patience.map_or(last, |patience| patience.min(last)))
+    }
+
+    fn service_time(&self) -> Duration {
+        self.limit.service_time().unwrap_or(Duration::ZERO)
     }
 
     fn on_offer(
@@ -275,8 +287,7 @@
             return Duration::ZERO;
         }
         let turns = self.queue.ahead_of(rank) + 1;
-        let service_time = self.limit.service_time().unwrap_or(Duration::ZERO);
-        service_time.mul_f64(turns as f64 / limit as f64)
+        self.service_time().mul_f64(turns as f64 / limit as f64)
     }
 
     /// Finds a place in the queue, at the cost of less urgent calls if need be.
--- a/goldcresttally-admission/tests/deadline_refusal.rs
+++ b/goldcresttally-admission/tests/deadline_refusal.rs
@@ -66,3 +66,26 @@
     assert!(bench.machine.load().limit < 10);
     assert!(bench.machine.load().limit >= 1);
 }
+
+#[test]
+fn late_call_takes_free_slot() {
+    // A call whose first attempt was lost comes late; a free slot costs nobody anything.
+    let mut bench = Bench::new(1, 64, &[0.0]);
+    learn(&mut bench, 100);
+    let late = bench.offer_within(0, 3000, 0);
+    assert_eq!(bench.dispatched(), [late]);
+}
+
+#[test]
+fn late_call_goes_last() {
+    let mut bench = Bench::new(1, 64, &[0.0, 0.0]);
+    learn(&mut bench, 10);
+    let running = bench.offer(0);
+    let late = bench.offer_within(0, 3000, 0);
+    let least = bench.offer(1);
+    bench.dispatched();
+    bench.finish(running);
+    assert_eq!(bench.dispatched(), [least]);
+    bench.finish(least);
+    assert_eq!(bench.dispatched(), [late]);
+}
--- a/goldcresttally-proxy/src/entry/observe.rs
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -90,6 +90,11 @@
                     limits.throttle.accepted();
                 }
             }
+            Err(error) if is_overload(error) => {
+                if let Some(limits) = self.limits() {
+                    limits.throttle.refused();
+                }
+            }
             Err(error) if is_endpoint_failure(error) => {
                 let endpoints = self.entry.state.endpoints();
                 let all = endpoints.get(&self.route.service.name);
@@ -103,6 +108,12 @@
     }
 }
 
+/// Tells whether the upstream refused a call because of its load.
+fn is_overload(error: &CallError) -> bool {
+    let load = matches!(error.reason, Reason::Overloaded | Reason::Shed | Reason::Deadline);
+    load && error.verdict == Verdict::NotRun
+}
+
 /// Tells whether a failure says something against the endpoint rather than about its load.
 fn is_endpoint_failure(error: &CallError) -> bool {
     match error.reason {
--- a/goldcresttally-routing/src/throttle.rs
+++ b/goldcresttally-routing/src/throttle.rs
@@ -1,7 +1,8 @@
 //! Refuses early, at the entry, what the upstreams would refuse anyway.
 //!
 //! Client-side throttling after "Site Reliability Engineering" (Beyer et al., 2016), chapter 21:
-//! calls are refused with probability `(requests - K * accepts) / (requests + 1)`.
+//! calls are refused with probability `(requests - K * accepts) / (requests + 1)`. Only calls that
+//! have ended are counted: a burst is no sign of overload.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -11,6 +12,9 @@
 /// Requests let through for each one that was accepted.
 const MULTIPLIER: f64 = 1.5;
 
+/// Refusals that are too few to act on.
+const SLACK: f64 = 10.0;
+
 /// Half-life of the counts, in milliseconds.
 const HALF_LIFE_MS: u64 = 250;
 
@@ -26,17 +30,28 @@
     /// Decides whether a call goes out; `random` is uniform in `0.0..1.0`.
     pub fn admit(&self, now: MonoTime, random: f64) -> bool {
         self.decay(now);
-        let requests = self.requests.fetch_add(1, Ordering::Relaxed) as f64;
+        let requests = self.requests.load(Ordering::Relaxed) as f64;
         let accepts = self.accepts.load(Ordering::Relaxed) as f64;
-        let refuse = (requests - MULTIPLIER * accepts - 10.0) / (requests + 1.0);
-        random >= refuse
+        let refuse = (requests - MULTIPLIER * accepts - SLACK) / (requests + 1.0);
+        let admits = random >= refuse;
+        if !admits {
+            // A call refused here counts as one that an upstream would have refused.
+            self.refused();
+        }
+        admits
     }
 
     /// Notes that an upstream took a call.
     pub fn accepted(&self) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
         self.accepts.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Notes that an upstream refused a call because of its load.
+    pub fn refused(&self) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+    }
+
     fn decay(&self, now: MonoTime) {
         let last = self.halved_at_us.load(Ordering::Relaxed);
         if now.since(MonoTime(last)) < Duration::from_millis(HALF_LIFE_MS) {
--- a/goldcresttally-standin/src/upstream/behaviour.rs
+++ b/goldcresttally-standin/src/upstream/behaviour.rs
@@ -22,6 +22,8 @@
     pub reported_health: Option<bool>,
     /// Size of the answer's padding, in bytes.
     pub answer_bytes: usize,
+    /// Whether it sheds whatever comes.
+    pub sheds: bool,
     /// Whether it breaks off its answers half-way.
     pub truncates: bool,
     /// Whether it runs calls but never answers.
@@ -39,6 +41,7 @@
             reported_load: None,
             reported_health: None,
             answer_bytes: 0,
+            sheds: false,
             truncates: false,
             mute: false,
         }
--- a/goldcresttallyd/src/node/stop.rs
+++ b/goldcresttallyd/src/node/stop.rs
@@ -78,6 +78,8 @@
     for mut task in tasks.drain(..) {
         if tokio::time::timeout_at(deadline, &mut task).await.is_err() {
             task.abort();
+            // Its listener is closed only once it has ended.
+            let _ = task.await;
             ended = false;
         }
     }
--- a/tally-lab/src/experiments/hop.rs
+++ b/tally-lab/src/experiments/hop.rs
@@ -49,7 +49,7 @@
 /// Runs the experiment.
 pub async fn run(options: Options) -> Result<Report, String> {
     let record = Arc::new(Record::default());
-    let places = vec![Place::new(0, "d0", "r1"), Place::new(1, "d0", "r1")];
+    let places = Place::spread(2, 1);
     let fleet = Fleet::start(FleetOptions::default(), places, options.seed).await;
     let mut fleet = fleet.map_err(|e| e.to_string())?;
     let behaviour = Behaviour { slots: 4096, service_ms: 0.0, ..Behaviour::default() };
--- a/tally-lab/src/fleet/mod.rs
+++ b/tally-lab/src/fleet/mod.rs
@@ -183,9 +183,9 @@
         Err(last)
     }
 
-    /// Returns the version in force at a VM's node; 0 when it does not run.
+    /// Returns the version in force at a VM's node; 0 when it does not run or may not serve yet.
     pub fn version(&self, i: usize) -> u64 {
-        let node = self.vms[i].node.as_ref();
+        let node = self.vms[i].node.as_ref().filter(|n| n.state().is_ready());
         node.map_or(0, |n| n.state().serving().snapshot.version().0)
     }
 
--- /dev/null
+++ b/tally-lab/tests/common/mod.rs
@@ -0,0 +1,102 @@
+//! A small fleet with a service on it.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use goldcresttally_standin::upstream::{Behaviour, Record};
+use http::Method;
+use tally_lab::documents;
+use tally_lab::fleet::{Fleet, FleetOptions, Place};
+use tally_lab::load::{Caller, Outcome, Spec};
+
+/// Longest wait for a condition; a test that needs it has failed.
+pub const LIMIT: Duration = Duration::from_secs(30);
+
+/// A fleet whose nodes `upstreams` have an upstream of the service `booking` beside them.
+pub struct Bench {
+    pub fleet: Fleet,
+    pub record: Arc<Record>,
+    pub caller: Caller,
+}
+
+pub fn behaviour() -> Behaviour {
+    Behaviour { service_ms: 1.0, ..Behaviour::default() }
+}
+
+impl Bench {
+    pub async fn start(nodes: usize, upstreams: &[(usize, Behaviour)]) -> Self {
+        Self::start_with(nodes, upstreams, &documents::service("booking", 4000, 64)).await
+    }
+
+    pub async fn start_with(nodes: usize, upstreams: &[(usize, Behaviour)], section: &str) -> Self {
+        let places = Place::spread(nodes, 2);
+        let fleet = Fleet::start(FleetOptions::default(), places, 1).await.unwrap();
+        let mut bench = Self { fleet, record: Arc::default(), caller: Caller::default() };
+        for (i, behaviour) in upstreams {
+            bench.start_upstream(*i, behaviour.clone()).await;
+        }
+        bench.fleet.put_section(0, "ranks", &documents::ranks()).await.unwrap();
+        bench.fleet.put_section(0, "booking", section).await.unwrap();
+        let version = bench.fleet.accept(0).await.unwrap();
+        assert!(bench.fleet.wait_version(version, LIMIT).await);
+        assert!(bench.fleet.wait_endpoints("booking", upstreams.len(), LIMIT).await);
+        bench
+    }
+
+    pub async fn start_upstream(&mut self, i: usize, behaviour: Behaviour) {
+        let record = Arc::clone(&self.record);
+        self.fleet.start_upstream(i, "booking", behaviour, &record).await.unwrap();
+    }
+
+    pub fn entry(&self, i: usize) -> SocketAddr {
+        self.fleet.vms[i].place.calls()
+    }
+
+    pub async fn call(&self, entry: usize, spec: &Spec) -> Outcome {
+        self.caller.call(self.entry(entry), spec).await.0
+    }
+
+    /// Starts a call and returns once it runs at an upstream.
+    pub async fn call_until_running(
+        &self,
+        entry: usize,
+        spec: &Spec,
+    ) -> tokio::task::JoinHandle<Outcome> {
+        let (caller, entry, sent) = (self.caller.clone(), self.entry(entry), spec.clone());
+        let call = tokio::spawn(async move { caller.call(entry, &sent).await.0 });
+        self.until(|b| b.record.run(&spec.id).started > 0).await;
+        call
+    }
+
+    pub async fn until(&self, condition: impl Fn(&Self) -> bool) {
+        let deadline = tokio::time::Instant::now() + LIMIT;
+        while !condition(self) {
+            assert!(tokio::time::Instant::now() < deadline, "waited in vain");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    pub fn counter(&self, i: usize, name: &str) -> u64 {
+        let state = self.fleet.vms[i].node.as_ref().unwrap().state();
+        state.counters.read().into_iter().find(|(n, _)| *n == name).unwrap().1
+    }
+
+    pub async fn stop(self) {
+        self.fleet.shut_down().await;
+    }
+}
+
+/// A call of the given kind (`read`, `write` or `keyed`) that takes `ms` at the upstream.
+pub fn spec(id: &str, kind: &str, ms: f64) -> Spec {
+    Spec {
+        id: id.to_owned(),
+        path: format!("/booking/urgent/{kind}"),
+        method: Method::POST,
+        key: (kind == "keyed").then(|| format!("key-{id}")),
+        service_ms: Some(ms),
+        body: Bytes::from_static(b"seats=2"),
+    }
+}
