--- a/goldcresttally-admission/src/machine.rs
+++ b/goldcresttally-admission/src/machine.rs
@@ -176,13 +176,14 @@
     pub fn on_event(&mut self, now: MonoTime, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Offer { call, rank, deadline, on_time_by, target } => {
-                let late = on_time_by.is_past(now);
-                let patience =
-                    if late { None } else { Some(self.patience(now, on_time_by, target)) };
+                let is_late = on_time_by.is_past(now);
+                let patience = (!is_late).then(|| self.patience(now, on_time_by, target));
                 let start_by = self.start_by(now, deadline, patience);
                 // A call that is late already must not make others late.
-                let lane = if late { self.options.floors.len().max(rank) } else { rank };
-                self.on_offer(now, lane, Waiting { call, start_by, arrived: now }, actions);
+                let last = self.options.floors.len().max(rank);
+                let lane = if is_late { last } else { rank };
+                let offered = Waiting { call, start_by, arrived: now };
+                self.on_offer(now, lane, offered, actions);
             }
             Event::Finish { call, outcome } => self.on_finish(now, call, outcome),
             Event::Withdraw { call } => {
--- a/goldcresttally-config/tests/manifest_patch.rs
+++ b/goldcresttally-config/tests/manifest_patch.rs
@@ -37,5 +37,5 @@
     assert_ne!(one.digest(), two.digest());
     let text = one.digest().to_string();
     assert_eq!(text.parse(), Ok(one.digest()));
-    assert!("zz".repeat(32).parse::<Digest>().is_err());
+    "zz".repeat(32).parse::<Digest>().unwrap_err();
 }
--- a/goldcresttally-config/tests/section_errors.rs
+++ b/goldcresttally-config/tests/section_errors.rs
@@ -72,9 +72,9 @@
 #[test]
 fn deep_nesting_is_refused() {
     let text = format!("services: {}", "[".repeat(5000));
-    assert!(parse(&text).is_err());
+    parse(&text).unwrap_err();
     let aliases = "a: &a [x,x,x,x,x,x,x,x]\nb: &b [*a,*a,*a,*a,*a,*a]\nservices: [*b,*b,*b]\n";
-    assert!(parse(aliases).is_err());
+    parse(aliases).unwrap_err();
 }
 
 #[test]
--- a/goldcresttally-core/tests/newtype_text.rs
+++ b/goldcresttally-core/tests/newtype_text.rs
@@ -41,10 +41,10 @@
 fn wrong_values_are_named() {
     let error = "a b".parse::<ServiceName>().unwrap_err().to_string();
     assert!(error.contains("`a b`") && error.contains("service name"), "{error}");
-    assert!("1.5".parse::<Share>().is_err());
-    assert!("-1/s".parse::<Rate>().is_err());
-    assert!("".parse::<ServiceName>().is_err());
-    assert!("x".repeat(65).parse::<ServiceName>().is_err());
+    "1.5".parse::<Share>().unwrap_err();
+    "-1/s".parse::<Rate>().unwrap_err();
+    "".parse::<ServiceName>().unwrap_err();
+    "x".repeat(65).parse::<ServiceName>().unwrap_err();
 }
 
 #[test]
--- a/goldcresttally-distribution/tests/common/mod.rs
+++ b/goldcresttally-distribution/tests/common/mod.rs
@@ -170,7 +170,7 @@
             Action::Install(bundle) => self.install(n, &bundle),
             Action::Push { to, update } => self.push(n, to, update),
             Action::Ready(version) => {
-                self.log.push(format!("{} node {n} ready at {version}", self.now))
+                self.log.push(format!("{} node {n} ready at {version}", self.now));
             }
         }
     }
--- a/goldcresttally-ledger/tests/fencing.rs
+++ b/goldcresttally-ledger/tests/fencing.rs
@@ -62,7 +62,7 @@
     ledger.begin(NOW, id(7), soon(), None).unwrap();
     ledger.dispatch(id(7)).unwrap();
     ledger.done(id(7), None);
-    let later = NOW + Duration::from_secs(3600);
+    let later = NOW + Duration::from_hours(1);
     // "Not seen" would be a lie: the ledger has forgotten that it ran.
     assert_eq!(ledger.settle(later, id(7), soon()), Settlement::Unknown);
     assert_eq!(ledger.settle(later, id(6), soon()), Settlement::Unknown);
@@ -101,7 +101,7 @@
         ledger.dispatch(other(n)).unwrap();
         ledger.done(other(n), None);
     }
-    let later = NOW + Duration::from_secs(3600);
+    let later = NOW + Duration::from_hours(1);
     for n in 1..=3 {
         assert_eq!(ledger.settle(later, other(n), soon()), Settlement::Unknown);
     }
--- a/goldcresttally-routing/tests/endpoint_choice.rs
+++ b/goldcresttally-routing/tests/endpoint_choice.rs
@@ -24,7 +24,7 @@
 
 fn pick(endpoints: &[Endpoint], tried: &[NodeId]) -> Option<u16> {
     let mut rng = fastrand_like(7);
-    let picked = Picker::default().pick(NOW, 0, endpoints, tried, |n| rng(n));
+    let picked = Picker::default().pick(NOW, 0, endpoints, tried, rng);
     picked.map(|e| e.peer.port())
 }
 
@@ -65,7 +65,7 @@
     assert_eq!(pick(&list, &[]), Some(2));
     let later = NOW + Duration::from_secs(2);
     let mut rng = fastrand_like(1);
-    let picked = Picker::default().pick(later, 0, &list, &[], |n| rng(n));
+    let picked = Picker::default().pick(later, 0, &list, &[], rng);
     assert_eq!(picked.map(|e| e.peer.port()), Some(1));
 }
 
@@ -100,7 +100,7 @@
     }
     let ejected = list.iter().filter(|e| e.observed.is_ejected(NOW)).count();
     assert_eq!(ejected, 2);
-    let later = NOW + Duration::from_secs(60);
+    let later = NOW + Duration::from_mins(1);
     assert!(list.iter().all(|e| !e.observed.is_ejected(later)));
 }
 
--- /dev/null
+++ b/goldcresttallyd/tests/documented.rs
@@ -0,0 +1,45 @@
+//! The reference pages name every event, setting and command.
+
+use goldcresttallyd::{Settings, events};
+
+fn page(name: &str) -> String {
+    std::fs::read_to_string(format!("{}/../docs/{name}", env!("CARGO_MANIFEST_DIR"))).unwrap()
+}
+
+#[test]
+fn every_event() {
+    let page = page("EVENTS.md");
+    let mut last = 0;
+    for event in events::CATALOGUE {
+        assert!(event.number > last, "{} is not in order", event.number);
+        last = event.number;
+        let row = format!(
+            "| E{} | {} | {} |",
+            event.number,
+            event.level.as_str().to_lowercase(),
+            event.title
+        );
+        assert!(page.contains(&row), "docs/EVENTS.md lacks `{row}`");
+    }
+}
+
+#[test]
+fn every_setting() {
+    let text = "\
+node: {control: 10.0.0.1:1, peer: 10.0.0.1:2, calls: 10.0.0.1:3, operator: 10.0.0.1:4, domain: d, region: r}
+platform: 10.0.0.2:1
+metrics: {statsd: 10.0.0.3:1}
+";
+    let settings = serde_json::to_value(Settings::parse(text).unwrap()).unwrap();
+    let page = page("SETTINGS.md");
+    let mut keys = Vec::new();
+    for (section, value) in settings.as_object().unwrap() {
+        match value.as_object().filter(|_| section != "teams") {
+            Some(object) => keys.extend(object.keys().map(|key| format!("{section}.{key}"))),
+            None => keys.push(section.clone()),
+        }
+    }
+    for key in keys {
+        assert!(page.contains(&format!("| `{key}` |")), "docs/SETTINGS.md lacks {key}");
+    }
+}
--- /dev/null
+++ b/tally-lab/tests/bad_input.rs
@@ -0,0 +1,159 @@
+//! Bad input gets a clear error and changes nothing; garbage harms nobody.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::{Bench, behaviour, spec};
+use goldcresttally_cli::{ExitStatus, NodeClient};
+use http::Method;
+use tally_lab::load::Outcome;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UdpSocket};
+
+async fn put(bench: &Bench, name: &str, revision: u64, text: &str) -> (ExitStatus, String) {
+    let path = format!("/v1/sections/{name}?revision={revision}");
+    let answer = bench.fleet.operator(0).json(Method::PUT, &path, text.to_owned()).await;
+    match answer {
+        Ok(_) => (ExitStatus::Success, String::new()),
+        Err(e) => (e.status, e.message),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operator_errors() {
+    let bench = Bench::start(1, &[]).await;
+    let (status, message) = put(&bench, "x", 0, "services:\n  a: {slots: 3}\n").await;
+    assert_eq!(status, ExitStatus::Invalid);
+    assert!(message.contains("section x, line 2") && message.contains("slots"), "{message}");
+    let (status, message) = put(&bench, "booking", 1, "services: {}\n").await;
+    assert_eq!(status, ExitStatus::Conflict);
+    assert!(message.contains("revision"), "{message}");
+    let (status, _) = put(&bench, "a%20b", 0, "").await;
+    assert_eq!(status, ExitStatus::Failure);
+    let large = format!("# {}", "x".repeat(600 * 1024));
+    let (status, _) = put(&bench, "large", 0, &large).await;
+    assert_ne!(status, ExitStatus::Success);
+    let node = bench.fleet.vms[0].place.operator();
+    for token in [None, Some("wrong".to_owned())] {
+        let client = NodeClient::new(node, token);
+        let path = "/v1/sections/x?revision=0";
+        let error = client.json(Method::PUT, path, String::new()).await.unwrap_err();
+        assert_eq!(error.status, ExitStatus::Unauthorized);
+        let error = client.json(Method::POST, "/v1/accept", String::new()).await.unwrap_err();
+        assert_eq!(error.status, ExitStatus::Unauthorized);
+    }
+    // None of it left a trace.
+    let list =
+        bench.fleet.operator(0).json(Method::GET, "/v1/sections", String::new()).await.unwrap();
+    assert_eq!(list.as_array().unwrap().len(), 2);
+    bench.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_announcements() {
+    let bench = Bench::start(1, &[]).await;
+    let client = bench.fleet.operator(0);
+    for body in [
+        "nonsense",
+        r#"{"service":"a b","address":"127.0.0.1:1","slots":1,"state":"ready"}"#,
+        r#"{"service":"a","address":"nowhere","slots":1,"state":"ready"}"#,
+        r#"{"service":"a","address":"127.0.0.1:1","slots":0,"state":"ready"}"#,
+        r#"{"service":"a","address":"127.0.0.1:1","slots":1,"state":"sleepy"}"#,
+        r#"{"service":"a","address":"127.0.0.1:1","slots":1,"state":"ready","more":1}"#,
+    ] {
+        let answer = client.json(Method::POST, "/v1/upstreams", body.to_owned()).await;
+        assert_eq!(answer.unwrap_err().status, ExitStatus::Failure, "{body}");
+    }
+    bench.stop().await;
+}
+
+/// Sends bytes and reads until the other side ends the connection or nothing more comes.
+async fn send(to: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    // The other side may close before it has read all.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = vec![0; 4096];
+    let limit = std::time::Duration::from_secs(2);
+    let read = tokio::time::timeout(limit, stream.read(&mut answer)).await;
+    let length = read.ok().and_then(Result::ok).unwrap_or(0);
+    String::from_utf8_lossy(&answer[..length]).into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn illegal_messages() {
+    let bench = Bench::start(2, &[(1, behaviour())]).await;
+    let entry = bench.entry(0);
+    assert!(send(entry, b"GET / HTTP/1.1\r\nhost: a\r\nbad header\r\n\r\n").await.contains("400"));
+    let huge = format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n", "y".repeat(80_000));
+    assert!(send(entry, huge.as_bytes()).await.contains("431"));
+    let smuggled = "POST /booking/urgent/write HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\
+        content-length: 5\r\n\r\nabcd";
+    assert!(send(entry, smuggled.as_bytes()).await.contains("400"));
+    // Internal headers of a caller mean nothing.
+    let forged = "POST /booking/urgent/write HTTP/1.1\r\nhost: a\r\nx-call-id: forged\r\n\
+        tally-op: settle\r\ntally-verdict: ran\r\ntally-attempt: x\r\ncontent-length: 0\r\n\r\n";
+    assert!(send(entry, forged.as_bytes()).await.starts_with("HTTP/1.1 200"));
+    assert_eq!(bench.call(0, &spec("after", "write", 1.0)).await, Outcome::Answered);
+    bench.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_and_slow_callers() {
+    let bench = Bench::start(2, &[(1, behaviour())]).await;
+    let one = |id: &str| {
+        format!(
+            "POST /booking/urgent/write HTTP/1.1\r\nhost: a\r\nx-call-id: {id}\r\ncontent-length: 2\r\n\r\nab"
+        )
+    };
+    let mut stream = TcpStream::connect(bench.entry(0)).await.unwrap();
+    stream.write_all((one("p1") + &one("p2") + &one("p3")).as_bytes()).await.unwrap();
+    let mut text = String::new();
+    let mut buf = vec![0; 4096];
+    while text.matches("\"received\":2").count() < 3 {
+        let length = stream.read(&mut buf).await.unwrap();
+        assert!(length > 0, "{text}");
+        text.push_str(&String::from_utf8_lossy(&buf[..length]));
+    }
+    let at = |id: &str| text.find(&format!("\"call\":\"{id}\"")).unwrap();
+    assert!(at("p1") < at("p2") && at("p2") < at("p3"));
+    // A caller that sends its body bit by bit.
+    let slow = one("slow");
+    let (head, tail) = slow.split_at(slow.len() - 2);
+    stream.write_all(head.as_bytes()).await.unwrap();
+    for byte in tail.as_bytes() {
+        tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+        stream.write_all(&[*byte]).await.unwrap();
+    }
+    let length = stream.read(&mut buf).await.unwrap();
+    assert!(String::from_utf8_lossy(&buf[..length]).starts_with("HTTP/1.1 200"));
+    bench.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_on_every_port() {
+    let bench = Bench::start(2, &[(1, behaviour())]).await;
+    let place = bench.fleet.vms[1].place.clone();
+    let peer = SocketAddr::new(place.ip(), 7401);
+    let mut rng = fastrand::Rng::with_seed(5);
+    let udp = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    for size in [1, 16, 300, 5000, 60_000] {
+        let garbage: Vec<u8> = (0..size).map(|_| rng.u8(..)).collect();
+        udp.send_to(&garbage, place.control()).await.unwrap();
+        for port in [place.control(), peer, place.calls(), place.operator()] {
+            let mut stream = TcpStream::connect(port).await.unwrap();
+            let _ = stream.write_all(&garbage).await;
+        }
+    }
+    // A frame that claims to be larger than any message.
+    let oversized = [0u8, 0, 0, 0, 0xff, 0xff, 0xff, 0x7f];
+    let mut stream = TcpStream::connect(place.control()).await.unwrap();
+    stream.write_all(&oversized).await.unwrap();
+    // A message between nodes without what it needs.
+    let bare = "POST /booking/urgent/write HTTP/1.1\r\nhost: a\r\ntally-op: call\r\ncontent-length: 0\r\n\r\n";
+    assert!(send(peer, bare.as_bytes()).await.contains("tally-verdict: not-run"));
+    assert_eq!(bench.call(0, &spec("after", "write", 1.0)).await, Outcome::Answered);
+    let version = bench.fleet.accept(1).await.unwrap();
+    assert!(bench.fleet.wait_version(version, common::LIMIT).await);
+    bench.stop().await;
+}
