--- a/goldcresttally-admission/tests/common/mod.rs
+++ b/goldcresttally-admission/tests/common/mod.rs
@@ -96,7 +96,9 @@
             .filter(|(_, at)| self.now.since(**at) >= limit)
             .map(|(call, _)| *call)
             .collect();
-        old.into_iter().for_each(|call| self.finish(call));
+        for call in old {
+            self.finish(call);
+        }
     }
 
     pub fn longest_wait_of(&self, rank: usize) -> u64 {
--- a/goldcresttally-membership/src/machine/merge.rs
+++ b/goldcresttally-membership/src/machine/merge.rs
@@ -85,12 +85,12 @@
         self.members.retain(|_, m| !m.tombstone.is_some_and(|d| d.is_past(now)));
     }
 
-    /// Suspects this node itself when at least half of the members are suspect at once:
+    /// Suspects this node itself when most of all members, itself included, are suspect at once:
     /// it then keeps the endpoints it knows instead of emptying its table.
     fn update_isolation(&mut self, actions: &mut Vec<Action>) {
         let members = self.members.values().filter(|m| m.record.status.is_member()).count();
         let suspects = self.members.values().filter(|m| m.record.status == Status::Suspect).count();
-        let isolated = members > 1 && 2 * suspects >= members;
+        let isolated = 2 * suspects > members + 1;
         if isolated != self.isolated {
             self.isolated = isolated;
             actions.push(Action::IsolationChanged { isolated });
--- a/goldcresttally-membership/tests/failure_detection.rs
+++ b/goldcresttally-membership/tests/failure_detection.rs
@@ -16,6 +16,17 @@
     }
 }
 
+#[test]
+fn one_of_three_dies() {
+    // One of two others is no mass loss.
+    let mut net = Net::start(3, 1);
+    net.run(2000);
+    net.kill(2);
+    net.run(20_000);
+    assert_eq!(net.status(0, 2), Some(Status::Dead));
+    assert!(!net.machines[0].as_ref().unwrap().is_isolated());
+}
+
 #[test]
 fn loss_kills_nobody() {
     for seed in 0..5 {
--- /dev/null
+++ b/goldcresttally-routing/examples/choose.rs
@@ -0,0 +1,43 @@
+//! Chooses endpoints: the own failure domain first, others when that is full.
+//!
+//! Run with `cargo run -p goldcresttally-routing --example choose`.
+
+use std::sync::Arc;
+
+use goldcresttally_core::{Generation, MonoTime, NodeId};
+use goldcresttally_routing::{Endpoint, Locality, Observed, Picker};
+
+fn endpoint(address: &str, locality: Locality) -> Endpoint {
+    let peer = address.parse().expect("an address");
+    Endpoint {
+        node: NodeId(peer),
+        generation: Generation(1),
+        peer,
+        locality,
+        slots: 2,
+        ready: true,
+        since: MonoTime(0),
+        observed: Arc::new(Observed::default()),
+    }
+}
+
+fn main() {
+    let endpoints = [
+        endpoint("10.0.1.1:7401", Locality::Domain),
+        endpoint("10.0.2.1:7401", Locality::Region),
+        endpoint("10.0.3.1:7401", Locality::Remote),
+    ];
+    let now = MonoTime::from_millis(60_000);
+    let mut seed = 1usize;
+    let mut random = |n: usize| {
+        seed = seed.wrapping_mul(48_271) % 2_147_483_647;
+        seed % n
+    };
+    // Each call stays in flight, so the nearest endpoints fill up one after another.
+    for call in 1..=6 {
+        let picked = Picker::default().pick(now, 0, &endpoints, &[], &mut random);
+        let picked = picked.expect("there are endpoints");
+        picked.observed.start(0);
+        println!("call {call} goes to {}", picked.peer);
+    }
+}
--- a/goldcresttally-routing/tests/endpoint_choice.rs
+++ b/goldcresttally-routing/tests/endpoint_choice.rs
@@ -23,7 +23,7 @@
 }
 
 fn pick(endpoints: &[Endpoint], tried: &[NodeId]) -> Option<u16> {
-    let mut rng = fastrand_like(7);
+    let rng = fastrand_like(7);
     let picked = Picker::default().pick(NOW, 0, endpoints, tried, rng);
     picked.map(|e| e.peer.port())
 }
@@ -64,7 +64,7 @@
     list[0].observed.report(NOW, 0, 5000);
     assert_eq!(pick(&list, &[]), Some(2));
     let later = NOW + Duration::from_secs(2);
-    let mut rng = fastrand_like(1);
+    let rng = fastrand_like(1);
     let picked = Picker::default().pick(later, 0, &list, &[], rng);
     assert_eq!(picked.map(|e| e.peer.port()), Some(1));
 }
--- a/goldcresttally-wire/tests/decoders.rs
+++ b/goldcresttally-wire/tests/decoders.rs
@@ -143,7 +143,7 @@
         let mut builder = capnp::message::Builder::new_default();
         update::write(&sent, builder.init_root());
         let words = capnp::serialize::write_message_to_words(&builder);
-        let reader = capnp::serialize::read_message((&*words), reader_options()).unwrap();
+        let reader = capnp::serialize::read_message(&*words, reader_options()).unwrap();
         let root = reader.get_root::<version_update::Reader<'_>>().unwrap();
         assert_eq!(update::read(root).unwrap(), sent);
         Ok(())
--- a/goldcresttallyd/tests/documented.rs
+++ b/goldcresttallyd/tests/documented.rs
@@ -43,3 +43,25 @@
         assert!(page.contains(&format!("| `{key}` |")), "docs/SETTINGS.md lacks {key}");
     }
 }
+
+#[test]
+fn sample_deployments() {
+    for site in ["fjordleik", "agency", "try-out"] {
+        let folder = format!("{}/../deploy/{site}", env!("CARGO_MANIFEST_DIR"));
+        let mut sections = Vec::new();
+        for entry in std::fs::read_dir(&folder).unwrap().map(Result::unwrap) {
+            let text = std::fs::read_to_string(entry.path()).unwrap();
+            let name = entry.file_name().into_string().unwrap();
+            if name.starts_with("node") {
+                Settings::parse(&text).unwrap_or_else(|e| panic!("{site}/{name}: {e}"));
+            } else {
+                let section = name.trim_end_matches(".yaml").parse().unwrap();
+                sections.push((section, std::sync::Arc::from(text)));
+            }
+        }
+        let version = goldcresttally_core::Version(1);
+        let snapshot = goldcresttally_config::Snapshot::build(version, &sections);
+        let snapshot = snapshot.unwrap_or_else(|e| panic!("{site}: {e}"));
+        assert!(snapshot.route_count() >= 4, "{site}");
+    }
+}
