Membership: a claim of death that is still made is refuted again; deaths count towards mass loss

Cause, found by tests/failure_detection.rs after the last change: (1) in nine members the suspects of a cut-off side died one after another before most were suspect at once; (2) a member that had missed a refutation kept holding the refuter dead until the repair after 30 s, since an outdated claim was ignored by its subject (partition_heals, 1 at 4). Change: deaths of the last 60 s count as lost; a claim of death that is not news is answered by telling the own record again.

--- a/goldcresttally-membership/src/machine/merge.rs
+++ b/goldcresttally-membership/src/machine/merge.rs
@@ -1,10 +1,15 @@
 //! Merges claims into the view.
 
+use std::time::Duration;
+
 use goldcresttally_core::{Deadline, MonoTime, Version};
 
 use super::{Action, Member, Membership};
 use crate::record::{Record, Status};
 
+/// Time within which the loss of most members counts as one event, in seconds.
+const MASS_LOSS_WINDOW_S: u64 = 60;
+
 impl Membership {
     pub(super) fn merge_all(
         &mut self,
@@ -21,7 +26,7 @@
         }
         if changed {
             actions.push(Action::ViewChanged);
-            self.update_isolation(actions);
+            self.update_isolation(now, actions);
         }
     }
 
@@ -31,12 +36,14 @@
             actions.push(Action::Superseded { by: record.clone() });
             return false;
         }
-        let outdated = record.generation < self.own.generation;
-        let harmless = record.status == Status::Alive || self.own.status == Status::Left;
-        if outdated || harmless || record.incarnation < self.own.incarnation {
+        if record.status == Status::Alive || self.own.status == Status::Left {
             return false;
         }
-        self.own.incarnation = record.incarnation.next();
+        let current = record.generation == self.own.generation;
+        if current && record.incarnation >= self.own.incarnation {
+            self.own.incarnation = record.incarnation.next();
+        }
+        // Whoever still makes this claim has missed an earlier refutation.
         self.broadcast_own();
         true
     }
@@ -57,6 +64,7 @@
                 .then(|| Deadline::after(now, self.suspicion_timeout())),
             tombstone: (!record.status.is_member())
                 .then(|| Deadline::after(now, self.options.tombstone_retention)),
+            died: (record.status == Status::Dead).then_some(now),
             // The version floor of an address outlives the process that set it.
             version: held.map_or(Version(0), |m| m.version),
             refused: same_life.map_or(Version(0), |m| m.refused),
@@ -70,7 +78,7 @@
 
     /// Declares suspects dead whose time to refute is over.
     pub(super) fn end_suspicions(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
-        self.update_isolation(actions);
+        self.update_isolation(now, actions);
         if self.isolated {
             return;
         }
@@ -85,12 +93,16 @@
         self.members.retain(|_, m| !m.tombstone.is_some_and(|d| d.is_past(now)));
     }
 
-    /// Suspects this node itself when most of all members, itself included, are suspect at once:
-    /// it then keeps the endpoints it knows instead of emptying its table.
-    fn update_isolation(&mut self, actions: &mut Vec<Action>) {
+    /// Suspects this node itself when it lost sight of most of all members within a short time: it
+    /// then declares nobody else dead and keeps the endpoints it knows.
+    fn update_isolation(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        let window = Duration::from_secs(MASS_LOSS_WINDOW_S);
+        let died_of_late = |m: &Member| m.died.is_some_and(|at| now.since(at) < window);
         let members = self.members.values().filter(|m| m.record.status.is_member()).count();
         let suspects = self.members.values().filter(|m| m.record.status == Status::Suspect).count();
-        let isolated = 2 * suspects > members + 1;
+        let dead = self.members.values().filter(|m| died_of_late(m)).count();
+        // This node counts as one that is not lost.
+        let isolated = 2 * (suspects + dead) > members + dead + 1;
         if isolated != self.isolated {
             self.isolated = isolated;
             actions.push(Action::IsolationChanged { isolated });
--- a/goldcresttally-membership/src/machine/mod.rs
+++ b/goldcresttally-membership/src/machine/mod.rs
@@ -135,6 +135,8 @@
     record: Record,
     /// When a suspicion turns into death.
     suspicion: Option<Deadline>,
+    /// When it was declared dead.
+    died: Option<MonoTime>,
     /// When the record of a dead or left member is dropped.
     tombstone: Option<Deadline>,
     /// The newest version that it told.
