--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: sends the call to its node, and settles it when the connection breaks.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use goldcresttally_core::Deadline;
 use http::uri::{Authority, PathAndQuery, Scheme};
@@ -16,6 +17,9 @@
 use crate::headers;
 use crate::link::LinkError;
 
+/// Time after the deadline for which the peer's verdict is waited for, in milliseconds.
+const VERDICT_GRACE_MS: u64 = 200;
+
 /// Cancels an attempt when its caller is gone before it has ended.
 struct CancelGuard {
     entry: Arc<Entry>,
@@ -62,12 +66,15 @@
         req: Request<CallBody>,
     ) -> Result<Response<CallBody>, CallError> {
         let probe = !self.route.idempotent;
-        let sent = self.entry.links.send(attempt.endpoint.peer, req, self.deadline, probe).await;
+        // The peer ends the attempt at the deadline and knows whether it ran.
+        let grace = Duration::from_millis(VERDICT_GRACE_MS);
+        let limit = Deadline::after(self.deadline.0, grace);
+        let sent = self.entry.links.send(attempt.endpoint.peer, req, limit, probe).await;
         match sent {
             Ok(response) => Ok(response.map(boxed)),
             Err(LinkError::NotSent) => Err(CallError::not_run(Reason::Unreachable)),
             Err(LinkError::TimedOut) => {
-                // The peer ends the attempt at the same deadline; nobody waits for it any more.
+                // The peer has not answered in time; nobody waits for it any more.
                 let entry = Arc::clone(&self.entry);
                 let attempt = attempt.clone();
                 self.entry.tasks.spawn(async move { entry.cancel(&attempt).await });
--- a/goldcresttally-proxy/src/link/mod.rs
+++ b/goldcresttally-proxy/src/link/mod.rs
@@ -38,6 +38,24 @@
     TimedOut,
 }
 
+/// How a request over one link failed.
+#[derive(Debug)]
+enum SendError {
+    /// Nothing of it was sent; here it is again.
+    Unsent(Box<Request<CallBody>>),
+    /// It may have been sent.
+    Failed(LinkError),
+}
+
+impl From<SendError> for LinkError {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::Unsent(_) => Self::NotSent,
+            SendError::Failed(error) => error,
+        }
+    }
+}
+
 /// A connection to one node.
 #[derive(Debug, Clone)]
 pub struct Link {
@@ -80,7 +98,14 @@
         probe: bool,
     ) -> Result<Response<Incoming>, LinkError> {
         let link = self.link(to, deadline, probe).await?;
-        link.send(self.clock(), req, deadline).await
+        match link.send(self.clock(), req, deadline).await {
+            // The kept link had been closed; a new one may stand.
+            Err(SendError::Unsent(req)) => {
+                let link = self.link(to, deadline, probe).await?;
+                Ok(link.send(self.clock(), *req, deadline).await?)
+            }
+            other => Ok(other?),
+        }
     }
 
     /// Sends a request over a connection of its own.
@@ -91,7 +116,7 @@
         deadline: Deadline,
     ) -> Result<Response<Incoming>, LinkError> {
         let link = self.dial(to, deadline).await?;
-        link.send(self.clock(), req, deadline).await
+        Ok(link.send(self.clock(), req, deadline).await?)
     }
 
     /// Closes links to nodes for which `keep` does not hold.
@@ -169,7 +194,7 @@
         clock: Clock,
         req: Request<CallBody>,
         deadline: Deadline,
-    ) -> Result<Response<Incoming>, LinkError> {
+    ) -> Result<Response<Incoming>, SendError> {
         let exchange = self.sender.clone().try_send_request(req);
         match tokio::time::timeout_at(clock.instant(deadline), exchange).await {
             Ok(Ok(response)) => {
@@ -177,10 +202,10 @@
                 Ok(response)
             }
             Ok(Err(mut error)) => match error.take_message() {
-                Some(_) => Err(LinkError::NotSent),
-                None => Err(LinkError::Lost),
+                Some(req) => Err(SendError::Unsent(Box::new(req))),
+                None => Err(SendError::Failed(LinkError::Lost)),
             },
-            Err(_) => Err(LinkError::TimedOut),
+            Err(_) => Err(SendError::Failed(LinkError::TimedOut)),
         }
     }
 
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use goldcresttally_core::MonoTime;
+use goldcresttally_core::{Deadline, MonoTime};
 use goldcresttally_distribution::{self as distribution, Distribution};
 use goldcresttally_ledger::Batcher;
 use goldcresttally_membership::{self as members, Membership, Pacer, Registry};
@@ -28,6 +28,9 @@
 /// Interval at which the machines are told the time, in milliseconds.
 const TICK_MS: u64 = 50;
 
+/// Shortest time between two tables of endpoints made from the view of members, in milliseconds.
+const VIEW_INTERVAL_MS: u64 = 200;
+
 /// Time that tasks of the control thread have to end, in milliseconds.
 const STOP_LIMIT_MS: u64 = 500;
 
@@ -59,6 +62,8 @@
     pub traffic: Rc<Cell<Traffic>>,
     /// Whether the view has changed since the endpoints were last made from it.
     pub view_changed: Cell<bool>,
+    /// When endpoints may be made from the view again.
+    pub next_view: Cell<Deadline>,
     pub joined: Cell<bool>,
     pub joining: Cell<bool>,
     pub joins_served: Cell<(u64, u32)>,
@@ -123,6 +128,7 @@
             stop: CancellationToken::new(),
             traffic,
             view_changed: Cell::new(true),
+            next_view: Cell::new(Deadline(now)),
             joined: Cell::new(settings.node.seeds.iter().all(|s| *s == id)),
             joining: Cell::new(false),
             joins_served: Cell::new((0, 0)),
@@ -173,7 +179,11 @@
         self.join_if_due();
         self.write_claims_if_due();
         self.peer.tick();
-        if self.view_changed.replace(false) {
+        let now = self.now();
+        if self.view_changed.get() && self.next_view.get().is_past(now) {
+            self.view_changed.set(false);
+            let interval = Duration::from_millis(VIEW_INTERVAL_MS);
+            self.next_view.set(Deadline::after(now, interval));
             self.publish_view();
         }
     }
--- a/tally-lab/src/experiments/converge.rs
+++ b/tally-lab/src/experiments/converge.rs
@@ -432,7 +432,7 @@
 }
 
 /// Returns the resident memory of this process, in megabytes.
-fn rss_mb() -> f64 {
+pub(super) fn rss_mb() -> f64 {
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = text.split_whitespace().nth(1).and_then(|n| n.parse::<f64>().ok());
     pages.unwrap_or(0.0) * 4096.0 / 1e6
--- a/tally-lab/src/experiments/hop.rs
+++ b/tally-lab/src/experiments/hop.rs
@@ -6,10 +6,13 @@
 
 use bytes::Bytes;
 use goldcresttally_proxy::workers::THREAD_NAME;
-use goldcresttally_standin::upstream::{Behaviour, Record};
+use goldcresttally_standin::Upstream;
+use goldcresttally_standin::upstream::{Announce, Behaviour, Record};
 use hdrhistogram::Histogram;
 use http::Method;
 use serde_json::{Value, json};
+use tokio::runtime::{Builder, Handle};
+use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -48,13 +51,13 @@
 
 /// Runs the experiment.
 pub async fn run(options: Options) -> Result<Report, String> {
-    let record = Arc::new(Record::default());
     let places = Place::spread(2, 1);
     let fleet = Fleet::start(FleetOptions::default(), places, options.seed).await;
-    let mut fleet = fleet.map_err(|e| e.to_string())?;
-    let behaviour = Behaviour { slots: 4096, service_ms: 0.0, ..Behaviour::default() };
-    let started = fleet.start_upstream(1, "echo", behaviour, &record).await;
-    started.map_err(|e| e.to_string())?;
+    let fleet = fleet.map_err(|e| e.to_string())?;
+    // The upstream has a thread of its own, as it would have a process of its own.
+    let upstream_runtime = own_thread("upstream")?;
+    let started = upstream_runtime.handle.spawn(start_upstream(fleet.vms[1].place.clone()));
+    let echo = started.await.map_err(|e| e.to_string())?.map_err(|e| e.to_string())?;
     fleet.put_section(0, "ranks", &documents::ranks()).await?;
     fleet.put_section(0, "echo", &documents::service("echo", 3000, 4096)).await?;
     let version = fleet.accept(0).await?;
@@ -63,10 +66,12 @@
         return Err("the fleet did not come up".to_owned());
     }
     let (entry, upstream) = (fleet.vms[0].place.calls(), fleet.vms[1].place.upstream());
+    let callers = own_thread("callers")?;
     let mut rows = Vec::new();
     let mut ok = true;
     for rate in RATES {
-        let pair = measure(entry, upstream, rate, options.seconds).await;
+        let measured = callers.handle.spawn(measure(entry, upstream, rate, options.seconds));
+        let pair = measured.await.map_err(|e| e.to_string())?;
         let row = pair.figures(rate);
         ok &= pair.failed == 0 && pair.added_ms(0.99) <= ADDED_BOUND_MS;
         rows.push(row);
@@ -78,10 +83,38 @@
         "rates": rows,
         "saturated": saturated,
     });
+    let stopped = upstream_runtime.handle.spawn(echo.stop());
+    stopped.await.map_err(|e| e.to_string())?;
     fleet.shut_down().await;
     Ok(Report { ok, figures })
 }
 
+/// A runtime on a thread of its own; it ends when this is dropped.
+struct OwnThread {
+    handle: Handle,
+    _stop: oneshot::Sender<()>,
+}
+
+fn own_thread(name: &str) -> Result<OwnThread, String> {
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let handle = runtime.handle().clone();
+    let (stop, stopped) = oneshot::channel::<()>();
+    let run = move || {
+        // The sender is never used, only dropped.
+        let _ = runtime.block_on(stopped);
+    };
+    let thread = std::thread::Builder::new().name(name.to_owned());
+    thread.spawn(run).map_err(|e| e.to_string())?;
+    Ok(OwnThread { handle, _stop: stop })
+}
+
+async fn start_upstream(place: Place) -> std::io::Result<Upstream> {
+    let behaviour = Behaviour { slots: 4096, service_ms: 0.0, ..Behaviour::default() };
+    let announce = Announce { node: place.operator(), service: "echo".to_owned() };
+    let record = Arc::new(Record::default());
+    Upstream::start(place.upstream(), behaviour, Some(announce), record).await
+}
+
 /// Makes direct calls and calls through two nodes in turn, each way at `rate`.
 async fn measure(entry: SocketAddr, upstream: SocketAddr, rate: u64, seconds: u64) -> Pair {
     let mut pair = Pair { direct: histogram(), through: histogram(), failed: 0 };
--- a/tally-lab/src/experiments/mod.rs
+++ b/tally-lab/src/experiments/mod.rs
@@ -5,3 +5,4 @@
 pub mod faults;
 pub mod flood;
 pub mod hop;
+pub mod scale;
--- /dev/null
+++ b/tally-lab/src/experiments/scale.rs
@@ -0,0 +1,254 @@
+//! What one node's control machines cost in a fleet of many nodes, whose messages are made up.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use goldcresttally_config::{Manifest, SectionEntry, Snapshot};
+use goldcresttally_core::{Generation, Incarnation, MonoTime, NodeId, Version};
+use goldcresttally_distribution::{
+    self as distribution, Bundle, ChangedSection, Distribution, VersionUpdate,
+};
+use goldcresttally_membership::{
+    self as members, Body, Header, Membership, Message, Record, Status, Upstream, UpstreamState,
+};
+use goldcresttally_wire::datagram;
+use serde_json::json;
+
+use crate::documents;
+use crate::output::{Report, rounded};
+
+/// Failure domains and services of the target.
+const DOMAINS: usize = 10;
+const SERVICES: usize = 310;
+
+/// Simulated time, in seconds.
+const SECONDS: u64 = 60;
+
+/// Interval of ticks, in milliseconds.
+const TICK_MS: u64 = 50;
+
+/// Claims that change per second: 1,200 restarts a day with five claims each, and failures.
+const CHANGES_PER_S: f64 = 1200.0 * 5.0 / 86_400.0 + 0.01;
+
+/// Bounds of the target on the cost of control per node.
+const CPU_BOUND_PCT: f64 = 2.8;
+const BYTES_BOUND_PER_S: f64 = 22.0 * 1024.0;
+const RSS_BOUND_MB: f64 = 64.0;
+
+/// Runs the experiment: one node among `nodes`.
+pub fn run(nodes: usize, seed: u64) -> Result<Report, String> {
+    let rss_before = super::converge::rss_mb();
+    let mut node = Synthetic::new(nodes, seed);
+    let membership_mb = super::converge::rss_mb() - rss_before;
+    let started = Instant::now();
+    node.run();
+    let membership_pct = started.elapsed().as_secs_f64() / SECONDS as f64 * 100.0;
+    let (document_mb, install_ms, delta_bytes) = document_cost()?;
+    // 3,600 changes a day, one install each.
+    let install_pct = install_ms / 1000.0 * (3600.0 / 86_400.0) * 100.0;
+    let delta_per_s = delta_bytes as f64 * 3600.0 / 86_400.0;
+    let bytes_per_s = node.bytes as f64 / SECONDS as f64;
+    let (cpu, memory) = (membership_pct + install_pct, membership_mb + document_mb);
+    let ok = cpu <= CPU_BOUND_PCT && bytes_per_s <= BYTES_BOUND_PER_S && memory <= RSS_BOUND_MB;
+    let figures = json!({
+        "experiment": "scale",
+        "nodes": nodes,
+        "services": SERVICES,
+        "membership_cpu_pct": rounded(membership_pct),
+        "membership_bytes_per_s": rounded(bytes_per_s),
+        "membership_mb": rounded(membership_mb),
+        "document_mb": rounded(document_mb),
+        "install_ms": rounded(install_ms),
+        "update_bytes": delta_bytes,
+        "update_bytes_per_s": rounded(delta_per_s),
+        "cpu_pct": rounded(cpu),
+        "memory_mb": rounded(memory),
+    });
+    Ok(Report { ok, figures })
+}
+
+/// A node among others that answer every probe and pass claims on.
+struct Synthetic {
+    machine: Membership,
+    records: Vec<Record>,
+    rng: fastrand::Rng,
+    now: MonoTime,
+    bytes: u64,
+}
+
+impl Synthetic {
+    fn new(nodes: usize, seed: u64) -> Self {
+        let now = MonoTime::from_millis(1000);
+        let records: Vec<Record> = (0..nodes).map(record).collect();
+        let options = members::Options::default();
+        let mut machine = Membership::new(options, records[0].clone(), seed, now);
+        machine.on_event(now, members::Event::Learned(records.clone()), &mut Vec::new());
+        // The claims of joining are not what a running node passes on.
+        for _ in 0..40 {
+            let mut actions = Vec::new();
+            machine.on_event(now, members::Event::Tick, &mut actions);
+        }
+        let rng = fastrand::Rng::with_seed(seed);
+        let mut node = Self { machine, records, rng, now, bytes: 0 };
+        node.drain_broadcasts();
+        node
+    }
+
+    /// Lets the claims of joining be sent until they are used up.
+    fn drain_broadcasts(&mut self) {
+        let mut actions = Vec::new();
+        for _ in 0..20_000 {
+            self.now = self.now + Duration::from_millis(TICK_MS);
+            self.machine.on_event(self.now, members::Event::Tick, &mut actions);
+            let gossip = actions.drain(..).filter(is_gossip).count();
+            self.answer_probes(&mut Vec::new());
+            if gossip == 0 && self.now > MonoTime::from_millis(60_000) {
+                return;
+            }
+        }
+    }
+
+    fn run(&mut self) {
+        for tick in 0..SECONDS * 1000 / TICK_MS {
+            self.now = self.now + Duration::from_millis(TICK_MS);
+            let mut actions = Vec::new();
+            self.machine.on_event(self.now, members::Event::Tick, &mut actions);
+            self.send_all(&mut actions);
+            if tick % (1000 / TICK_MS) == 0 {
+                // Each second one other node probes this one.
+                self.receive(Body::Ping { sequence: tick }, Vec::new());
+            }
+            if self.rng.f64() < CHANGES_PER_S * TICK_MS as f64 / 1000.0 {
+                self.change();
+            }
+        }
+    }
+
+    /// Lets a claim arrive as often as gossip brings it.
+    fn change(&mut self) {
+        let n = self.rng.usize(1..self.records.len());
+        self.records[n].incarnation = self.records[n].incarnation.next();
+        let copies = 4.0 * (self.records.len() as f64 + 1.0).log10().ceil();
+        for _ in 0..copies as usize {
+            let update = self.records[n].clone();
+            self.receive(Body::Gossip, vec![update]);
+        }
+    }
+
+    fn receive(&mut self, body: Body, updates: Vec<Record>) {
+        let from = self.records[self.rng.usize(1..self.records.len())].id;
+        let header =
+            Header { from, generation: Generation(1), version: Version(0), refused: Version(0) };
+        let Ok(bytes) = datagram::encode(&Message { header, body, updates }) else { return };
+        self.bytes += bytes.len() as u64;
+        let Ok(message) = datagram::decode(&bytes) else { return };
+        let mut actions = Vec::new();
+        self.machine.on_event(self.now, members::Event::Received(message), &mut actions);
+        self.send_all(&mut actions);
+    }
+
+    /// Encodes what is sent, and lets probes be answered.
+    fn send_all(&mut self, actions: &mut Vec<members::Action>) {
+        for action in actions.drain(..) {
+            let members::Action::Send { to, message } = action else { continue };
+            let Ok(bytes) = datagram::encode(&message) else { continue };
+            self.bytes += bytes.len() as u64;
+            if let Body::Ping { sequence } = message.body {
+                self.acknowledge(to, sequence);
+            }
+        }
+    }
+
+    fn answer_probes(&mut self, actions: &mut Vec<members::Action>) {
+        self.send_all(actions);
+    }
+
+    fn acknowledge(&mut self, from: NodeId, sequence: u64) {
+        let header =
+            Header { from, generation: Generation(1), version: Version(0), refused: Version(0) };
+        let message = Message { header, body: Body::Ack { sequence }, updates: Vec::new() };
+        if let Ok(bytes) = datagram::encode(&message) {
+            self.bytes += bytes.len() as u64;
+        }
+        self.machine.on_event(self.now, members::Event::Received(message), &mut Vec::new());
+    }
+}
+
+fn is_gossip(action: &members::Action) -> bool {
+    matches!(action, members::Action::Send { message, .. } if message.body == Body::Gossip)
+}
+
+fn record(n: usize) -> Record {
+    let ip = [10, (n / 65_536) as u8, (n / 256) as u8, n as u8];
+    let address = |port| std::net::SocketAddr::from((ip, port));
+    let name = |text: String| text.parse().unwrap_or_else(|_| unreachable!("a valid name"));
+    let service = name_of(n % SERVICES);
+    Record {
+        id: NodeId(address(7400)),
+        peer: address(7401),
+        operator: address(7403),
+        domain: name(format!("domain-{}", n % DOMAINS)),
+        region: format!("region-{}", n % 3)
+            .parse()
+            .unwrap_or_else(|_| unreachable!("a valid name")),
+        generation: Generation(1),
+        incarnation: Incarnation(0),
+        status: Status::Alive,
+        leaving: false,
+        upstreams: vec![Upstream {
+            service: service.parse().unwrap_or_else(|_| unreachable!("a valid name")),
+            slots: 12,
+            state: UpstreamState::Ready,
+        }],
+    }
+}
+
+fn name_of(service: usize) -> String {
+    format!("service-{service}")
+}
+
+/// Measures a document with all services: memory, time to install a change, bytes of a change.
+fn document_cost() -> Result<(f64, f64, usize), String> {
+    let before = super::converge::rss_mb();
+    let section = |n: usize, queue: usize| -> Result<ChangedSection, String> {
+        let text = documents::service(&name_of(n), 3000, queue);
+        let name = name_of(n).parse().map_err(|e: goldcresttally_core::Error| e.to_string())?;
+        Ok(ChangedSection { name, body: Arc::from(text) })
+    };
+    let mut sections: Vec<_> = (0..SERVICES).map(|n| section(n, 64)).collect::<Result<_, _>>()?;
+    let ranks = ChangedSection {
+        name: "ranks".parse().map_err(|e: goldcresttally_core::Error| e.to_string())?,
+        body: Arc::from(documents::ranks()),
+    };
+    sections.push(ranks);
+    let first = complete(1, &sections);
+    sections[7] = section(7, 65)?;
+    let bundle = Bundle::default().patched(&first).ok_or("the first version does not apply")?;
+    let held = Snapshot::build(Version(1), &bundle.sections()).map_err(|e| e.to_string())?;
+    let own = distribution::Peer {
+        id: NodeId(([10, 0, 0, 1], 7400).into()),
+        domain: "domain-0".parse().map_err(|e: goldcresttally_core::Error| e.to_string())?,
+    };
+    let machine = Distribution::new(distribution::Options::default(), own, 1, MonoTime(0));
+    let document_mb = super::converge::rss_mb() - before;
+    let second = Bundle::default().patched(&complete(2, &sections)).ok_or("does not apply")?;
+    let update = second.update_from(bundle.manifest());
+    let started = Instant::now();
+    let patched = bundle.patched(&update).ok_or("the change does not apply")?;
+    let built = Snapshot::build(Version(2), &patched.sections()).map_err(|e| e.to_string())?;
+    let install_ms = started.elapsed().as_secs_f64() * 1000.0;
+    drop((held, built, machine));
+    let bytes = update.changed.iter().map(|s| s.body.len() + 64).sum::<usize>() + 128;
+    Ok((document_mb, install_ms, bytes))
+}
+
+fn complete(version: u64, sections: &[ChangedSection]) -> VersionUpdate {
+    let entries: Vec<SectionEntry> = sections.iter().map(ChangedSection::entry).collect();
+    VersionUpdate {
+        version: Version(version),
+        base: Version(0),
+        manifest: Manifest::new(Version(version), entries).digest(),
+        changed: sections.to_vec(),
+        removed: Vec::new(),
+    }
+}
--- a/tally-lab/src/main.rs
+++ b/tally-lab/src/main.rs
@@ -4,7 +4,7 @@
 
 use getopts::Options;
 use goldcresttally_admission::Policy;
-use tally_lab::experiments::{converge, demo, faults, flood, hop};
+use tally_lab::experiments::{converge, demo, faults, flood, hop, scale};
 use tally_lab::output::Report;
 
 /// Exit code for a wrong command line.
@@ -22,7 +22,10 @@
         }
     };
     if matches.opt_present("help") || matches.free.is_empty() {
-        print!("{}", options.usage("Usage: tally-lab demo|converge|flood|hop|faults [OPTIONS]"));
+        print!(
+            "{}",
+            options.usage("Usage: tally-lab demo|converge|flood|hop|faults|scale [OPTIONS]")
+        );
         return ExitCode::SUCCESS;
     }
     match run(&matches).await {
@@ -40,7 +43,7 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "seed", "seed of random choices (1)", "N");
-    options.optopt("n", "nodes", "converge: nodes (25)", "N");
+    options.optopt("n", "nodes", "converge, scale: nodes (25, 3700)", "N");
     options.optopt("c", "changes", "converge: accepted changes (10)", "N");
     options.optopt(
         "f",
@@ -105,6 +108,7 @@
             let seconds = get(matches, "seconds", 5)?;
             hop::run(hop::Options { seconds, seed }).await
         }
+        "scale" => scale::run(get(matches, "nodes", 3700)?, seed),
         "faults" => {
             let options = faults::Options {
                 seconds: get(matches, "seconds", 30)?,
