--- a/goldcresttally-admission/src/machine.rs
+++ b/goldcresttally-admission/src/machine.rs
@@ -118,7 +118,7 @@
         /// How it ended.
         outcome: Outcome,
     },
-    /// A call that may still wait is given up; it gets no further action.
+    /// A call that waits, or whose turn has just come, is given up; it gets no further action.
     Withdraw {
         /// The call.
         call: CallId,
@@ -187,7 +187,10 @@
             }
             Event::Finish { call, outcome } => self.on_finish(now, call, outcome),
             Event::Withdraw { call } => {
-                self.queue.remove(call);
+                // Its turn may have come just before it was given up.
+                if !self.queue.remove(call) {
+                    self.on_finish(now, call, Outcome::Failed);
+                }
             }
             Event::Configure(options) => self.configure(options),
             Event::Drain => self.on_drain(actions),
--- a/goldcresttally-admission/tests/common/mod.rs
+++ b/goldcresttally-admission/tests/common/mod.rs
@@ -59,6 +59,13 @@
         }
     }
 
+    /// Gives a call up, whether it waits or runs.
+    pub fn withdraw(&mut self, call: CallId) {
+        self.running.remove(&call);
+        self.offered.remove(&call);
+        self.step(Event::Withdraw { call });
+    }
+
     pub fn offer(&mut self, rank: usize) -> CallId {
         self.offer_within(rank, LONG_MS, LONG_MS)
     }
--- a/goldcresttally-admission/tests/random_events.rs
+++ b/goldcresttally-admission/tests/random_events.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::Bench;
-use goldcresttally_admission::{CallId, Event, Outcome};
+use goldcresttally_admission::{CallId, Outcome};
 
 #[test]
 fn limits_hold() {
@@ -25,7 +25,11 @@
                         *u.choose(&[Outcome::Answered, Outcome::Shed, Outcome::Failed])?;
                     bench.finish_with(call, outcome);
                 }
-                8 => bench.step(Event::Withdraw { call: CallId(u.int_in_range(0..=40)?) }),
+                8 => {
+                    let call = CallId(u.int_in_range(0..=40)?);
+                    running.retain(|c| *c != call);
+                    bench.withdraw(call);
+                }
                 _ => {}
             }
             running.extend(bench.dispatched());
--- a/goldcresttally-admission/tests/recorded_traces.rs
+++ b/goldcresttally-admission/tests/recorded_traces.rs
@@ -31,7 +31,7 @@
                 };
                 bench.finish_with(CallId(number(2)), outcome);
             }
-            "withdraw" => bench.step(Event::Withdraw { call: CallId(number(2)) }),
+            "withdraw" => bench.withdraw(CallId(number(2))),
             "drain" => bench.step(Event::Drain),
             "open" => bench.step(Event::Open),
             _ => {}
--- a/goldcresttally-admission/tests/urgent_first.rs
+++ b/goldcresttally-admission/tests/urgent_first.rs
@@ -17,6 +17,16 @@
     assert_eq!(bench.dispatched(), [waiting]);
 }
 
+#[test]
+fn given_up_at_its_turn() {
+    // The call's turn comes as its caller goes: its slot must not be lost.
+    let mut bench = Bench::new(1, 16, &[0.0]);
+    let gone = bench.offer(0);
+    bench.withdraw(gone);
+    let next = bench.offer(0);
+    assert_eq!(bench.dispatched(), [gone, next]);
+}
+
 #[test]
 fn full_queue_evicts_lesser() {
     let mut bench = Bench::new(1, 2, &[0.0, 0.0]);
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -131,7 +131,7 @@
         headers::set(map, headers::RANK, &self.route.rank.name);
         let on_time_by = Deadline::after(self.started, self.route.rank.target);
         let on_time = on_time_by.remaining(self.entry.state.clock.now()).as_millis();
-        headers::set(map, headers::ON_TIME_MS, &on_time);
+        headers::set_unique(map, headers::ON_TIME_MS, &on_time);
         if keyed {
             headers::set(map, headers::KEYED, "true");
         }
@@ -153,9 +153,9 @@
 impl Entry {
     /// Sets the headers that name an attempt.
     pub(super) fn address(&self, map: &mut http::HeaderMap, attempt: &Attempt, deadline: Deadline) {
-        headers::set(map, headers::ATTEMPT, &attempt.id);
+        headers::set_unique(map, headers::ATTEMPT, &attempt.id);
         headers::set(map, headers::GENERATION, &attempt.endpoint.generation);
         let left = deadline.remaining(self.state.clock.now()).as_millis();
-        headers::set(map, headers::DEADLINE_MS, &left);
+        headers::set_unique(map, headers::DEADLINE_MS, &left);
     }
 }
--- a/goldcresttally-proxy/src/headers.rs
+++ b/goldcresttally-proxy/src/headers.rs
@@ -83,6 +83,15 @@
     }
 }
 
+/// Sets a header to a value that hardly ever comes again, and keeps it out of the table by which
+/// HTTP/2 compresses headers (RFC 7541, section 7.1.3).
+pub fn set_unique(headers: &mut HeaderMap, name: HeaderName, value: &(impl ToString + ?Sized)) {
+    if let Ok(mut value) = HeaderValue::try_from(value.to_string()) {
+        value.set_sensitive(true);
+        headers.insert(name, value);
+    }
+}
+
 /// Reads the time left until the deadline.
 pub fn time_left(headers: &HeaderMap) -> Option<Duration> {
     parse::<u64>(headers, &DEADLINE_MS).map(|ms| Duration::from_millis(ms.min(3_600_000)))
--- a/goldcresttally-proxy/src/peer/gate.rs
+++ b/goldcresttally-proxy/src/peer/gate.rs
@@ -38,21 +38,27 @@
     gate: &'a Gate,
     state: &'a State,
     call: CallId,
-    outcome: Outcome,
+    /// How the call ended, once it has its turn.
+    outcome: Option<Outcome>,
 }
 
 impl Place<'_> {
     /// Sets how the call ended; without it, it counts as failed.
     pub fn set_outcome(&mut self, outcome: Outcome) {
-        self.outcome = outcome;
+        self.outcome = Some(outcome);
     }
 }
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
-        let (call, outcome) = (self.call, self.outcome);
-        self.gate.step(self.state, Event::Withdraw { call });
-        self.gate.step(self.state, Event::Finish { call, outcome });
+        let call = self.call;
+        self.gate.step(
+            self.state,
+            match self.outcome {
+                Some(outcome) => Event::Finish { call, outcome },
+                None => Event::Withdraw { call },
+            },
+        );
     }
 }
 
@@ -121,46 +127,73 @@
         state: &'a State,
         ticket: &Ticket,
     ) -> Result<Place<'a>, CallError> {
-        let (tx, rx) = oneshot::channel();
-        let call = {
-            let mut inner = self.lock();
-            inner.next += 1;
-            let call = CallId(inner.next);
-            inner.waiting.insert(call, tx);
-            call
+        let (call, decided) = self.offer(state, ticket);
+        let mut place = Place { gate: self, state, call, outcome: None };
+        let decision = match decided {
+            Ok(decision) => decision,
+            Err(waiting) => waiting.await.unwrap_or(Err(Refusal::Draining)),
         };
+        match decision {
+            Ok(()) => {
+                place.set_outcome(Outcome::Failed);
+                Ok(place)
+            }
+            Err(Refusal::Overloaded) => Err(CallError::not_run(Reason::Overloaded)),
+            Err(Refusal::Deadline) => Err(CallError::not_run(Reason::Deadline)),
+            Err(Refusal::Draining) => Err(CallError::not_run(Reason::Draining)),
+        }
+    }
+
+    /// Offers a call; returns the decision, or the way by which it will come.
+    fn offer(
+        &self,
+        state: &State,
+        ticket: &Ticket,
+    ) -> (CallId, Result<Decision, oneshot::Receiver<Decision>>) {
         let Ticket { rank, deadline, on_time_by, target, .. } = *ticket;
+        let mut inner = self.lock();
+        inner.next += 1;
+        let call = CallId(inner.next);
         let offer = Event::Offer { call, rank, deadline, on_time_by, target };
-        let place = Place { gate: self, state, call, outcome: Outcome::Failed };
-        self.step(state, offer);
-        match rx.await {
-            Ok(Ok(())) => Ok(place),
-            Ok(Err(Refusal::Overloaded)) => Err(CallError::not_run(Reason::Overloaded)),
-            Ok(Err(Refusal::Deadline)) => Err(CallError::not_run(Reason::Deadline)),
-            Ok(Err(Refusal::Draining)) | Err(_) => Err(CallError::not_run(Reason::Draining)),
+        match inner.step(state, offer, Some(call)) {
+            Some(decision) => (call, Ok(decision)),
+            None => {
+                let (tx, rx) = oneshot::channel();
+                inner.waiting.insert(call, tx);
+                (call, Err(rx))
+            }
         }
     }
 
     fn step(&self, state: &State, event: Event) {
-        let mut inner = self.lock();
-        let Inner { admission, waiting, actions, .. } = &mut *inner;
+        self.lock().step(state, event, None);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Gives an event to the machine and passes its decisions on; returns the one on `own`.
+    fn step(&mut self, state: &State, event: Event, own: Option<CallId>) -> Option<Decision> {
         if let Event::Withdraw { call } = &event {
-            waiting.remove(call);
+            self.waiting.remove(call);
         }
-        admission.on_event(state.clock.now(), event, actions);
-        for action in actions.drain(..) {
+        self.admission.on_event(state.clock.now(), event, &mut self.actions);
+        let mut decided = None;
+        for action in self.actions.drain(..) {
             let (call, decision) = match action {
                 Action::Dispatch(call) => (call, Ok(())),
                 Action::Refuse(call, refusal) => (call, Err(refusal)),
             };
-            // A receiver that is gone gives its place back by itself.
-            if let Some(tx) = waiting.remove(&call) {
+            if Some(call) == own {
+                decided = Some(decision);
+            } else if let Some(tx) = self.waiting.remove(&call) {
+                // A receiver that is gone gives its place back by itself.
                 let _ = tx.send(decision);
             }
         }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        decided
     }
 }
--- /dev/null
+++ b/tally-lab/src/experiments/faults/load.rs
@@ -0,0 +1,91 @@
+//! The calls that are made while faults happen.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::{SharedEntries, lock};
+use crate::documents::RANKS;
+use crate::load::{Caller, Outcome, Spec, Tally};
+
+/// Calls per second.
+const CALLS_PER_S: f64 = 250.0;
+
+/// Repeats of a keyed call whose outcome the caller does not know.
+const REPEATS: usize = 6;
+
+/// Time between repeats, in milliseconds.
+const REPEAT_PAUSE_MS: u64 = 500;
+
+/// Calls of all ranks and kinds through random entries.
+pub(super) struct Load {
+    pub entries: SharedEntries,
+    pub seed: u64,
+}
+
+impl Load {
+    pub async fn run(self, stop: CancellationToken) -> Tally {
+        let tally = Arc::new(Mutex::new(Tally::default()));
+        let caller = Caller::default();
+        let mut rng = fastrand::Rng::with_seed(self.seed + 1);
+        let mut calls = JoinSet::new();
+        let mut ticks = tokio::time::interval(Duration::from_secs_f64(1.0 / CALLS_PER_S));
+        let mut number = 0;
+        while !stop.is_cancelled() {
+            ticks.tick().await;
+            number += 1;
+            let rank = RANKS[rng.usize(..3)];
+            let kind = ["read", "write", "keyed"][rng.usize(..3)];
+            let id = format!("call-{number}");
+            let spec = Spec {
+                path: format!("/booking/{rank}/{kind}"),
+                method: Method::POST,
+                key: (kind == "keyed").then(|| id.clone()),
+                body: Bytes::from(vec![b'x'; rng.usize(..4000)]),
+                id,
+                ..Spec::default()
+            };
+            let (caller, entries) = (caller.clone(), Arc::clone(&self.entries));
+            let tally = Arc::clone(&tally);
+            calls.spawn(async move { call(caller, entries, spec, rank, kind, tally).await });
+            while calls.try_join_next().is_some() {}
+        }
+        while calls.join_next().await.is_some() {}
+        let mut tally = lock(&tally);
+        std::mem::take(&mut *tally)
+    }
+}
+
+/// Makes one call; a keyed one whose outcome is not known is repeated under its key.
+async fn call(
+    caller: Caller,
+    entries: SharedEntries,
+    spec: Spec,
+    rank: &'static str,
+    kind: &'static str,
+    tally: Arc<Mutex<Tally>>,
+) {
+    for _ in 0..=REPEATS {
+        let entry = fastrand::choice(lock(&entries).running.iter().copied());
+        let Some((i, address)) = entry else { return };
+        let started = Instant::now();
+        let (mut outcome, latency) = caller.call(address, &spec).await;
+        let killed = lock(&entries).killed.get(&i).is_some_and(|at| *at >= started);
+        // A caller's own connection to a node that was killed says nothing about the system.
+        if killed && outcome == Outcome::Cut {
+            outcome = Outcome::Broken;
+        }
+        let once = kind != "read";
+        lock(&tally).add(rank, &spec.id, once, outcome, latency, Duration::from_secs(1));
+        let unknown = !matches!(outcome, Outcome::Answered | Outcome::Crossed | Outcome::Cut);
+        if kind != "keyed" || !unknown {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(REPEAT_PAUSE_MS)).await;
+    }
+}
--- a/tally-lab/src/experiments/faults.rs
+++ b/tally-lab/src/experiments/faults/mod.rs
@@ -1,24 +1,24 @@
 //! A random mix of faults under load; what must never happen is counted at the upstreams.
 
+mod load;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use goldcresttally_proxy::entry;
 use goldcresttally_standin::platform::Faults;
 use goldcresttally_standin::upstream::{Behaviour, Record};
-use http::Method;
 use serde_json::json;
-use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::documents::{self, RANKS};
+use crate::documents;
 use crate::fleet::{Fleet, FleetOptions, Monitor, Place};
-use crate::load::{Caller, Outcome, Spec, Tally};
+use crate::load::Tally;
 use crate::output::{Report, rounded};
+use load::Load;
 
 /// VMs of the fleet.
 const NODES: usize = 9;
@@ -26,18 +26,9 @@
 /// Failure domains of the fleet.
 const DOMAINS: usize = 3;
 
-/// Calls per second.
-const CALLS_PER_S: f64 = 250.0;
-
 /// Time that one call takes at an upstream, in milliseconds.
 const SERVICE_MS: f64 = 20.0;
 
-/// Repeats of a keyed call whose outcome the caller does not know.
-const REPEATS: usize = 6;
-
-/// Time between repeats, in milliseconds.
-const REPEAT_PAUSE_MS: u64 = 500;
-
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -330,74 +321,6 @@
     }
 }
 
-/// Calls of all ranks and kinds through random entries.
-struct Load {
-    entries: SharedEntries,
-    seed: u64,
-}
-
-impl Load {
-    async fn run(self, stop: CancellationToken) -> Tally {
-        let tally = Arc::new(Mutex::new(Tally::default()));
-        let caller = Caller::default();
-        let mut rng = fastrand::Rng::with_seed(self.seed + 1);
-        let mut calls = JoinSet::new();
-        let mut ticks = tokio::time::interval(Duration::from_secs_f64(1.0 / CALLS_PER_S));
-        let mut number = 0;
-        while !stop.is_cancelled() {
-            ticks.tick().await;
-            number += 1;
-            let rank = RANKS[rng.usize(..3)];
-            let kind = ["read", "write", "keyed"][rng.usize(..3)];
-            let id = format!("call-{number}");
-            let spec = Spec {
-                path: format!("/booking/{rank}/{kind}"),
-                method: Method::POST,
-                key: (kind == "keyed").then(|| id.clone()),
-                body: Bytes::from(vec![b'x'; rng.usize(..4000)]),
-                id,
-                ..Spec::default()
-            };
-            let (caller, entries) = (caller.clone(), Arc::clone(&self.entries));
-            let tally = Arc::clone(&tally);
-            calls.spawn(async move { call(caller, entries, spec, rank, kind, tally).await });
-            while calls.try_join_next().is_some() {}
-        }
-        while calls.join_next().await.is_some() {}
-        let mut tally = lock(&tally);
-        std::mem::take(&mut *tally)
-    }
-}
-
-/// Makes one call; a keyed one whose outcome is not known is repeated under its key.
-async fn call(
-    caller: Caller,
-    entries: SharedEntries,
-    spec: Spec,
-    rank: &'static str,
-    kind: &'static str,
-    tally: Arc<Mutex<Tally>>,
-) {
-    for _ in 0..=REPEATS {
-        let entry = fastrand::choice(lock(&entries).running.iter().copied());
-        let Some((i, address)) = entry else { return };
-        let started = Instant::now();
-        let (mut outcome, latency) = caller.call(address, &spec).await;
-        let killed = lock(&entries).killed.get(&i).is_some_and(|at| *at >= started);
-        // A caller's own connection to a node that was killed says nothing about the system.
-        if killed && outcome == Outcome::Cut {
-            outcome = Outcome::Broken;
-        }
-        let once = kind != "read";
-        lock(&tally).add(rank, &spec.id, once, outcome, latency, Duration::from_secs(1));
-        let unknown = !matches!(outcome, Outcome::Answered | Outcome::Crossed | Outcome::Cut);
-        if kind != "keyed" || !unknown {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(REPEAT_PAUSE_MS)).await;
-    }
-}
-
 fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
     shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/tally-lab/src/experiments/hop.rs
+++ b/tally-lab/src/experiments/hop.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use goldcresttally_proxy::workers::THREAD_NAME;
 use goldcresttally_standin::Upstream;
 use goldcresttally_standin::upstream::{Announce, Behaviour, Record};
 use hdrhistogram::Histogram;
@@ -20,6 +19,7 @@
 use crate::fleet::{Fleet, FleetOptions, Place};
 use crate::load::{Caller, Outcome, Spec};
 use crate::output::{Report, rounded};
+use crate::usage::node_cpu_s;
 
 /// Rates at which calls go through one entry node, per second.
 const RATES: [u64; 3] = [50, 500, 2000];
@@ -208,20 +208,6 @@
     })
 }
 
-/// Returns the processor time of all threads that serve nodes' calls, in seconds.
-fn node_cpu_s() -> f64 {
-    let Ok(tasks) = std::fs::read_dir("/proc/self/task") else { return 0.0 };
-    let mut total_ns = 0;
-    for task in tasks.flatten() {
-        let read = |name| std::fs::read_to_string(task.path().join(name)).unwrap_or_default();
-        if read("comm").trim() == THREAD_NAME {
-            let text = read("schedstat");
-            total_ns += text.split_whitespace().next().and_then(|n| n.parse().ok()).unwrap_or(0u64);
-        }
-    }
-    total_ns as f64 / 1e9
-}
-
 fn histogram() -> Histogram<u64> {
     let histogram = Histogram::new_with_bounds(1, 600_000_000, 3);
     // The bounds are constants that the library accepts.
--- a/tally-lab/src/experiments/scale.rs
+++ b/tally-lab/src/experiments/scale.rs
@@ -16,6 +16,7 @@
 
 use crate::documents;
 use crate::output::{Report, rounded};
+use crate::usage::rss_mb;
 
 /// Failure domains and services of the target.
 const DOMAINS: usize = 10;
@@ -37,9 +38,9 @@
 
 /// Runs the experiment: one node among `nodes`.
 pub fn run(nodes: usize, seed: u64) -> Result<Report, String> {
-    let rss_before = super::converge::rss_mb();
+    let rss_before = rss_mb();
     let mut node = Synthetic::new(nodes, seed);
-    let membership_mb = super::converge::rss_mb() - rss_before;
+    let membership_mb = rss_mb() - rss_before;
     let started = Instant::now();
     node.run();
     let membership_pct = started.elapsed().as_secs_f64() / SECONDS as f64 * 100.0;
@@ -209,7 +210,7 @@
 
 /// Measures a document with all services: memory, time to install a change, bytes of a change.
 fn document_cost() -> Result<(f64, f64, usize), String> {
-    let before = super::converge::rss_mb();
+    let before = rss_mb();
     let section = |n: usize, queue: usize| -> Result<ChangedSection, String> {
         let text = documents::service(&name_of(n), 3000, queue);
         let name = name_of(n).parse().map_err(|e: goldcresttally_core::Error| e.to_string())?;
@@ -230,7 +231,7 @@
         domain: "domain-0".parse().map_err(|e: goldcresttally_core::Error| e.to_string())?,
     };
     let machine = Distribution::new(distribution::Options::default(), own, 1, MonoTime(0));
-    let document_mb = super::converge::rss_mb() - before;
+    let document_mb = rss_mb() - before;
     let second = Bundle::default().patched(&complete(2, &sections)).ok_or("does not apply")?;
     let update = second.update_from(bundle.manifest());
     let started = Instant::now();
--- a/tally-lab/src/lib.rs
+++ b/tally-lab/src/lib.rs
@@ -5,9 +5,11 @@
 //! * [`documents`]: configuration documents for experiments.
 //! * [`experiments`]: the experiments.
 //! * [`output`]: the line of JSON that each experiment ends with.
+//! * [`usage`]: what this process uses.
 
 pub mod documents;
 pub mod experiments;
 pub mod fleet;
 pub mod load;
 pub mod output;
+pub mod usage;
