Membership: bulk claims are not passed on

Cause, found by tally-lab scale: a node that joins 3,699 others queued all their records as news and spent 15.3 KB/s for minutes on passing them on, though they were news to itself alone. Change: more than 16 records in one message are merged and not passed on; own findings always are.

--- a/goldcresttally-membership/src/machine/merge.rs
+++ b/goldcresttally-membership/src/machine/merge.rs
@@ -7,21 +7,37 @@
 use super::{Action, Member, Membership};
 use crate::record::{Record, Status};
 
+/// Records in one message above which none of them is passed on.
+const BULK_RECORDS: usize = 16;
+
 /// Time within which the loss of most members counts as one event, in seconds.
 const MASS_LOSS_WINDOW_S: u64 = 60;
 
 impl Membership {
+    /// Merges claims that others made.
     pub(super) fn merge_all(
         &mut self,
         now: MonoTime,
         records: Vec<Record>,
         actions: &mut Vec<Action>,
+    ) {
+        // What comes by the dozen is news to this node alone, as when it joins.
+        let pass_on = records.len() <= BULK_RECORDS;
+        self.merge_claims(now, records, pass_on, actions);
+    }
+
+    fn merge_claims(
+        &mut self,
+        now: MonoTime,
+        records: Vec<Record>,
+        pass_on: bool,
+        actions: &mut Vec<Action>,
     ) {
         let mut changed = false;
         for record in records {
             changed |= match record.id == self.own.id {
                 true => self.merge_own(&record, actions),
-                false => self.merge(now, record),
+                false => self.merge(now, record, pass_on),
             };
         }
         if changed {
@@ -49,7 +65,7 @@
     }
 
     /// Takes a claim about another node if it supersedes what is held; returns whether it did.
-    pub(super) fn merge(&mut self, now: MonoTime, record: Record) -> bool {
+    fn merge(&mut self, now: MonoTime, record: Record, pass_on: bool) -> bool {
         let held = self.members.get(&record.id);
         if held.is_some_and(|m| !record.supersedes(&m.record)) {
             return false;
@@ -72,7 +88,9 @@
             record: record.clone(),
         };
         self.members.insert(record.id, member);
-        self.broadcasts.push(record);
+        if pass_on {
+            self.broadcasts.push(record);
+        }
         true
     }
 
@@ -86,7 +104,7 @@
         let dead: Vec<Record> =
             self.members.values().filter(over).map(|m| m.record.clone()).collect();
         let dead = dead.into_iter().map(|r| Record { status: Status::Dead, ..r }).collect();
-        self.merge_all(now, dead, actions);
+        self.merge_claims(now, dead, true, actions);
     }
 
     pub(super) fn drop_tombstones(&mut self, now: MonoTime) {
--- a/goldcresttally-membership/tests/crossed_claims.rs
+++ b/goldcresttally-membership/tests/crossed_claims.rs
@@ -73,3 +73,24 @@
     assert!(differing.len() >= 48);
     assert!(one.differing(&one.bucket_hashes()).is_empty());
 }
+
+#[test]
+fn bulk_is_not_passed_on() {
+    let now = MonoTime::from_millis(1000);
+    let mut machine = Membership::new(Options::default(), record(0, 1), 1, now);
+    let records: Vec<_> = (1..500).map(|n| record(n, 1)).collect();
+    machine.on_event(now, Event::Learned(records), &mut Vec::new());
+    machine.on_event(now, Event::Learned(vec![record(600, 1)]), &mut Vec::new());
+    let mut told = std::collections::BTreeSet::new();
+    for tick in 0..600 {
+        let now = MonoTime::from_millis(1000 + tick * 50);
+        let mut actions = Vec::new();
+        machine.on_event(now, Event::Tick, &mut actions);
+        for action in actions {
+            let goldcresttally_membership::Action::Send { message, .. } = action else { continue };
+            told.extend(message.updates.iter().filter(|r| r.status == Status::Alive).map(|r| r.id));
+        }
+    }
+    // Its own record and the one that came alone.
+    assert_eq!(told.len(), 2);
+}
--- a/tally-lab/src/experiments/scale.rs
+++ b/tally-lab/src/experiments/scale.rs
@@ -84,29 +84,8 @@
         let options = members::Options::default();
         let mut machine = Membership::new(options, records[0].clone(), seed, now);
         machine.on_event(now, members::Event::Learned(records.clone()), &mut Vec::new());
-        // The claims of joining are not what a running node passes on.
-        for _ in 0..40 {
-            let mut actions = Vec::new();
-            machine.on_event(now, members::Event::Tick, &mut actions);
-        }
         let rng = fastrand::Rng::with_seed(seed);
-        let mut node = Self { machine, records, rng, now, bytes: 0 };
-        node.drain_broadcasts();
-        node
-    }
-
-    /// Lets the claims of joining be sent until they are used up.
-    fn drain_broadcasts(&mut self) {
-        let mut actions = Vec::new();
-        for _ in 0..20_000 {
-            self.now = self.now + Duration::from_millis(TICK_MS);
-            self.machine.on_event(self.now, members::Event::Tick, &mut actions);
-            let gossip = actions.drain(..).filter(is_gossip).count();
-            self.answer_probes(&mut Vec::new());
-            if gossip == 0 && self.now > MonoTime::from_millis(60_000) {
-                return;
-            }
-        }
+        Self { machine, records, rng, now, bytes: 0 }
     }
 
     fn run(&mut self) {
@@ -160,10 +139,6 @@
         }
     }
 
-    fn answer_probes(&mut self, actions: &mut Vec<members::Action>) {
-        self.send_all(actions);
-    }
-
     fn acknowledge(&mut self, from: NodeId, sequence: u64) {
         let header =
             Header { from, generation: Generation(1), version: Version(0), refused: Version(0) };
@@ -175,10 +150,6 @@
     }
 }
 
-fn is_gossip(action: &members::Action) -> bool {
-    matches!(action, members::Action::Send { message, .. } if message.body == Body::Gossip)
-}
-
 fn record(n: usize) -> Record {
     let ip = [10, (n / 65_536) as u8, (n / 256) as u8, n as u8];
     let address = |port| std::net::SocketAddr::from((ip, port));
