--- a/goldcresttally-admission/src/machine.rs
+++ b/goldcresttally-admission/src/machine.rs
@@ -177,8 +177,8 @@
         match event {
             Event::Offer { call, rank, deadline, on_time_by, target } => {
                 let is_late = on_time_by.is_past(now);
-                let patience = (!is_late).then(|| self.patience(now, on_time_by, target));
-                let start_by = self.start_by(now, deadline, patience);
+                let max_wait = (!is_late).then(|| self.max_wait(now, on_time_by, target));
+                let start_by = self.start_by(now, deadline, max_wait);
                 // A call that is late already must not make others late.
                 let last = self.options.floors.len().max(rank);
                 let lane = if is_late { last } else { rank };
@@ -229,7 +229,7 @@
     /// Calls that wait until they are late only make those behind them late too. Where the target
     /// is hardly above the service time, one service time of waiting is allowed all the same, or
     /// everything would be refused.
-    fn patience(&self, now: MonoTime, on_time_by: Deadline, target: Duration) -> Duration {
+    fn max_wait(&self, now: MonoTime, on_time_by: Deadline, target: Duration) -> Duration {
         let service_time = self.service_time();
         let usual = service_time.mul_f64(SERVICE_TIME_MARGIN);
         let spare = on_time_by.remaining(now).saturating_sub(usual);
@@ -240,13 +240,13 @@
     }
 
     /// Returns until when a call must start to be answered before its deadline, and within its
-    /// patience where that is known.
-    fn start_by(&self, now: MonoTime, deadline: Deadline, patience: Option<Duration>) -> Deadline {
+    /// longest wait where that is known.
+    fn start_by(&self, now: MonoTime, deadline: Deadline, max_wait: Option<Duration>) -> Deadline {
         let service_time = self.service_time();
         // Half of the usual service time may be enough for one call.
         let last = deadline.remaining(now).saturating_sub(service_time.div_f64(2.0));
-        let patience = patience.filter(|_| !service_time.is_zero());
-        Deadline::after(now, patience.map_or(last, |patience| patience.min(last)))
+        let max_wait = max_wait.filter(|_| !service_time.is_zero());
+        Deadline::after(now, max_wait.map_or(last, |max_wait| max_wait.min(last)))
     }
 
     fn service_time(&self) -> Duration {
--- a/goldcresttally-core/src/ids.rs
+++ b/goldcresttally-core/src/ids.rs
@@ -164,14 +164,14 @@
     }
 }
 
-/// Identifies one attempt to run a call: who sent it, in which life, and its sequence number.
+/// Identifies one attempt to run a call: who sent it, in which generation, and its sequence number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct AttemptId {
     /// The entry node that made the attempt.
     pub origin: NodeId,
-    /// The life of the entry node.
+    /// The generation of the entry node.
     pub generation: Generation,
-    /// Grows by one with each attempt of that life.
+    /// Grows by one with each attempt of that generation.
     pub sequence: u64,
 }
 
--- a/goldcresttally-distribution/src/machine/poll.rs
+++ b/goldcresttally-distribution/src/machine/poll.rs
@@ -10,7 +10,7 @@
 const OUTAGE_POLL_LIMIT_S: u64 = 3;
 
 impl Distribution {
-    /// Spreads the first polls of a herd of nodes that all see nobody yet.
+    /// Spreads the first polls of nodes that start at once and see no others yet.
     pub(super) fn schedule_first_poll(&mut self, now: MonoTime) {
         let spread = self.poll_interval().mul_f64(self.rng.f64());
         self.next_poll = Deadline::after(now, spread);
--- a/goldcresttally-distribution/tests/rollout.rs
+++ b/goldcresttally-distribution/tests/rollout.rs
@@ -148,11 +148,11 @@
 }
 
 #[test]
-fn paused_poller_wakes() {
+fn paused_poller_resumes() {
     let mut fleet = Fleet::start(8, 1, options(Mode::Tree), 9);
     fleet.head = 1;
     fleet.run(4000);
-    // A poller that slept through versions 2 to 5 acts on what it read before it slept.
+    // A poller that was paused during versions 2 to 5 acts on what it read before.
     let stale =
         Event::HeadRead { version: Version(2), manifest: Some(common::manifest(2).digest()) };
     fleet.head = 5;
--- a/goldcresttally-ledger/src/claim.rs
+++ b/goldcresttally-ledger/src/claim.rs
@@ -36,7 +36,7 @@
     pub holder: NodeId,
     /// The address of that node for calls from other nodes.
     pub holder_peer: String,
-    /// The life of that node.
+    /// The generation of that node.
     pub holder_generation: Generation,
     /// Wall-clock time after which the claim means nothing, in milliseconds since the epoch.
     pub expires_at_ms: u64,
--- a/goldcresttally-ledger/src/ledger.rs
+++ b/goldcresttally-ledger/src/ledger.rs
@@ -19,7 +19,7 @@
     pub answer_limit: usize,
     /// Time for which an attempt is remembered after its deadline.
     pub retention: Duration,
-    /// Entry nodes' lives whose forgotten attempts are remembered.
+    /// Entry nodes' generations whose evicted attempts are remembered.
     pub origins: usize,
 }
 
--- a/goldcresttally-membership/src/message.rs
+++ b/goldcresttally-membership/src/message.rs
@@ -9,7 +9,7 @@
 pub struct Header {
     /// The sender.
     pub from: NodeId,
-    /// The sender's life.
+    /// The sender's generation.
     pub generation: Generation,
     /// The configuration version in force at the sender.
     pub version: Version,
--- a/goldcresttally-membership/src/pacer.rs
+++ b/goldcresttally-membership/src/pacer.rs
@@ -1,4 +1,4 @@
-//! Paces attempts to join, so that a herd of restarted nodes does not swamp the survivors.
+//! Paces attempts to join, so that many nodes that restart at once do not overload the others.
 
 use std::time::Duration;
 
--- a/goldcresttally-membership/src/record.rs
+++ b/goldcresttally-membership/src/record.rs
@@ -96,9 +96,9 @@
     pub domain: DomainId,
     /// Its region.
     pub region: RegionId,
-    /// The life of the process at the address.
+    /// The generation of the process at the address.
     pub generation: Generation,
-    /// Orders the claims within one life.
+    /// Orders the claims within one generation.
     pub incarnation: Incarnation,
     /// What is held true of it.
     pub status: Status,
@@ -114,7 +114,7 @@
         self.precedence() > other.precedence()
     }
 
-    /// Orders claims: a later life first, then a later incarnation, then the graver status.
+    /// Orders claims: a later generation first, then a later incarnation, then the graver status.
     pub fn precedence(&self) -> (Generation, Incarnation, Status) {
         (self.generation, self.incarnation, self.status)
     }
--- a/goldcresttally-membership/src/registry.rs
+++ b/goldcresttally-membership/src/registry.rs
@@ -7,7 +7,7 @@
 
 use crate::record::{Upstream, UpstreamState};
 
-/// Life of a lease that is not renewed, in milliseconds.
+/// Duration of a lease that is not renewed, in milliseconds.
 pub const LEASE_MS: u64 = 3000;
 
 /// What an upstream says of itself, at first and with every renewal.
--- a/goldcresttally-membership/tests/failure_detection.rs
+++ b/goldcresttally-membership/tests/failure_detection.rs
@@ -60,7 +60,7 @@
     net.run(2000);
     net.cut = [0, 1].into();
     net.run(60_000);
-    // The side that lost sight of most members doubts itself and keeps what it knows.
+    // The side that lost most members keeps those that it knows.
     let machine = net.machines[0].as_ref().unwrap();
     assert!(machine.is_isolated());
     assert!(machine.members().count() >= 4, "{} members", machine.members().count());
@@ -110,10 +110,10 @@
 }
 
 #[test]
-fn older_life_learns_of_later() {
+fn older_generation_learns_of_later() {
     let mut net = Net::start(3, 2);
     net.boot(1, 5);
-    // The old process at the address wakes up beside the new one's record.
+    // The old process at the address resumes beside the new one's record.
     net.boot(1, 4);
     net.run(3000);
     let superseded =
--- a/goldcresttally-membership/tests/paused_process.rs
+++ b/goldcresttally-membership/tests/paused_process.rs
@@ -19,7 +19,7 @@
 }
 
 #[test]
-fn waking_node_buries_nobody() {
+fn resumed_node_declares_none_dead() {
     let mut net = Net::start(6, 5);
     net.run(3000);
     net.paused = [2].into();
@@ -28,7 +28,11 @@
     net.run(3000);
     assert!(net.actions.iter().any(|(n, a)| *n == 2 && matches!(a, Action::Resumed { .. })));
     for n in [0, 1, 3, 4, 5] {
-        assert_ne!(net.status(2, n), Some(Status::Dead), "{n} held dead by the node that slept");
+        assert_ne!(
+            net.status(2, n),
+            Some(Status::Dead),
+            "{n} held dead by the node that was paused"
+        );
         assert_eq!(net.status(n, 2), Some(Status::Alive), "at {n}");
     }
 }
--- a/goldcresttally-proxy/src/headers.rs
+++ b/goldcresttally-proxy/src/headers.rs
@@ -10,7 +10,7 @@
 pub const OP: HeaderName = HeaderName::from_static("tally-op");
 /// The attempt's id.
 pub const ATTEMPT: HeaderName = HeaderName::from_static("tally-attempt");
-/// The life of the node that is to run the attempt.
+/// The generation of the node that is to run the attempt.
 pub const GENERATION: HeaderName = HeaderName::from_static("tally-generation");
 /// The service.
 pub const SERVICE: HeaderName = HeaderName::from_static("tally-service");
--- a/goldcresttally-proxy/src/link/mod.rs
+++ b/goldcresttally-proxy/src/link/mod.rs
@@ -20,7 +20,7 @@
 use crate::state::State;
 use crate::transport::Transport;
 
-/// Time without a sign of life after which a link is probed before it carries a call that must
+/// Time without an answer after which a link is probed before it carries a call that must
 /// not run twice, in milliseconds.
 const PROBE_AFTER_IDLE_MS: u64 = 1000;
 
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -19,7 +19,7 @@
     pub node: NodeId,
     /// Its address for calls from other nodes.
     pub peer: SocketAddr,
-    /// Its life.
+    /// Its generation.
     pub generation: Generation,
 }
 
@@ -133,12 +133,12 @@
         self.leaving.store(true, Ordering::Release);
     }
 
-    /// Notes that a later life was seen at this node's address.
+    /// Notes that a later generation was seen at this node's address.
     pub fn set_superseded(&self, by: Generation) {
         self.superseded_by.store(by.0, Ordering::Release);
     }
 
-    /// Returns the latest life seen at this node's address after its own, or its own.
+    /// Returns the latest generation seen at this node's address after its own, or its own.
     pub fn latest_generation(&self) -> Generation {
         self.identity.generation.max(Generation(self.superseded_by.load(Ordering::Acquire)))
     }
--- a/goldcresttally-routing/src/endpoint.rs
+++ b/goldcresttally-routing/src/endpoint.rs
@@ -10,8 +10,8 @@
 /// Latency assumed of an endpoint that has not answered yet, in microseconds.
 const FIRST_LATENCY_US: u64 = 5000;
 
-/// Time for which a reported load is believed, in milliseconds.
-const REPORT_LIFE_MS: u64 = 1000;
+/// Time for which a reported load is used, in milliseconds.
+const REPORT_VALIDITY_MS: u64 = 1000;
 
 /// How near an endpoint is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -102,7 +102,7 @@
     pub fn reported_load(&self, now: MonoTime, rank: usize) -> u32 {
         let reported = &self.reported[class(rank)];
         let at = MonoTime(reported.at_us.load(Ordering::Relaxed));
-        match now.since(at) < Duration::from_millis(REPORT_LIFE_MS) {
+        match now.since(at) < Duration::from_millis(REPORT_VALIDITY_MS) {
             true => reported.load.load(Ordering::Relaxed),
             false => 0,
         }
@@ -124,7 +124,7 @@
 pub struct Endpoint {
     /// The node.
     pub node: NodeId,
-    /// The life of the node.
+    /// The generation of the node.
     pub generation: Generation,
     /// The node's address for calls from other nodes.
     pub peer: SocketAddr,
--- a/goldcresttallyd/src/control/command.rs
+++ b/goldcresttallyd/src/control/command.rs
@@ -38,7 +38,7 @@
 pub struct ControlStatus {
     /// The node.
     pub node: NodeId,
-    /// Its life.
+    /// Its generation.
     pub generation: Generation,
     /// Its failure domain.
     pub domain: DomainId,
--- a/goldcresttallyd/src/main.rs
+++ b/goldcresttallyd/src/main.rs
@@ -10,7 +10,7 @@
 /// Exit code for a wrong command line or wrong settings.
 const EXIT_USAGE: u8 = 2;
 
-/// How a life of the node ended.
+/// How a run of the node ended.
 enum End {
     /// It was told to stop, and all in flight ended.
     Stopped,
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -37,7 +37,7 @@
     pub entry: Options,
     /// Drives random choices.
     pub seed: u64,
-    /// The life of the process must be later than this.
+    /// The generation of the process must be later than this.
     pub after_generation: Generation,
 }
 
--- a/tally-lab/src/fleet/network.rs
+++ b/tally-lab/src/fleet/network.rs
@@ -112,7 +112,7 @@
         let network = Arc::clone(&self.network);
         let local = self.local;
         Box::pin(async move {
-            // What is sent into a cut is lost; only the caller's patience ends this.
+            // What is sent into a cut is lost; only the caller's timeout ends this.
             while !network.reaches(local, to.ip()) {
                 tokio::time::sleep(Duration::from_millis(STALL_CHECK_MS)).await;
             }
