--- a/goldcresttally-admission/src/machine.rs
+++ b/goldcresttally-admission/src/machine.rs
@@ -1,11 +1,9 @@
 //! The decisions of admission, as a deterministic state machine.
 
 use std::fmt;
-use std::str::FromStr;
 use std::time::Duration;
 
-use goldcresttally_core::errors::invalid;
-use goldcresttally_core::{Deadline, Map, MonoTime};
+use goldcresttally_core::{Deadline, Map, MonoTime, text_enum};
 
 use crate::limit::{AdaptiveLimit, Outcome};
 use crate::queue::{RankedQueue, Waiting};
@@ -32,28 +30,14 @@
     Ranked,
 }
 
-impl fmt::Display for Policy {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Fifo => "fifo",
-            Self::Strict => "strict",
-            Self::Ranked => "ranked",
-        })
-    }
-}
-
-impl FromStr for Policy {
-    type Err = goldcresttally_core::Error;
-
-    fn from_str(text: &str) -> goldcresttally_core::Result<Self> {
-        match text {
-            "fifo" => Ok(Self::Fifo),
-            "strict" => Ok(Self::Strict),
-            "ranked" => Ok(Self::Ranked),
-            _ => invalid("admission policy", text, "fifo, strict or ranked"),
-        }
-    }
-}
+text_enum!(
+    Policy,
+    "admission policy",
+    "fifo, strict or ranked",
+    Fifo = "fifo",
+    Strict = "strict",
+    Ranked = "ranked",
+);
 
 /// Limits of one upstream.
 #[derive(Debug, Clone, PartialEq)]
--- a/goldcresttally-core/src/lib.rs
+++ b/goldcresttally-core/src/lib.rs
@@ -6,12 +6,14 @@
 //! * [`verdict`]: whether a failed request may have run.
 //! * [`collections`]: hash maps with a fast hasher.
 //! * [`rendezvous`]: highest-random-weight hashing.
+//! * [`text_enum`]: enumerations that are written and read as text.
 //! * [`errors`]: the error of this crate.
 
 pub mod collections;
 pub mod errors;
 pub mod ids;
 pub mod rendezvous;
+mod text;
 pub mod time;
 pub mod units;
 pub mod verdict;
--- a/goldcresttally-core/src/verdict.rs
+++ b/goldcresttally-core/src/verdict.rs
@@ -1,9 +1,6 @@
 //! The verdict on a failed request: whether it may have run.
 
-use std::fmt;
-use std::str::FromStr;
-
-use crate::errors::{Error, Result, invalid};
+use crate::text_enum;
 
 /// Says whether a request that failed may have had an effect at an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -26,25 +23,11 @@
     }
 }
 
-impl fmt::Display for Verdict {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::NotRun => "not-run",
-            Self::MayHaveRun => "may-have-run",
-            Self::Ran => "ran",
-        })
-    }
-}
-
-impl FromStr for Verdict {
-    type Err = Error;
-
-    fn from_str(text: &str) -> Result<Self> {
-        match text {
-            "not-run" => Ok(Self::NotRun),
-            "may-have-run" => Ok(Self::MayHaveRun),
-            "ran" => Ok(Self::Ran),
-            _ => invalid("verdict", text, "not-run, may-have-run or ran"),
-        }
-    }
-}
+text_enum!(
+    Verdict,
+    "verdict",
+    "not-run, may-have-run or ran",
+    NotRun = "not-run",
+    MayHaveRun = "may-have-run",
+    Ran = "ran",
+);
--- a/goldcresttally-distribution/src/machine/options.rs
+++ b/goldcresttally-distribution/src/machine/options.rs
@@ -1,10 +1,8 @@
 //! The mode of spreading, and its timing and sizes.
 
-use std::fmt;
-use std::str::FromStr;
 use std::time::Duration;
 
-use goldcresttally_core::errors::invalid;
+use goldcresttally_core::text_enum;
 
 /// How versions reach the nodes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -18,28 +16,14 @@
     Tree,
 }
 
-impl fmt::Display for Mode {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Poll => "poll",
-            Self::Gossip => "gossip",
-            Self::Tree => "tree",
-        })
-    }
-}
-
-impl FromStr for Mode {
-    type Err = goldcresttally_core::Error;
-
-    fn from_str(text: &str) -> goldcresttally_core::Result<Self> {
-        match text {
-            "poll" => Ok(Self::Poll),
-            "gossip" => Ok(Self::Gossip),
-            "tree" => Ok(Self::Tree),
-            _ => invalid("distribution mode", text, "poll, gossip or tree"),
-        }
-    }
-}
+text_enum!(
+    Mode,
+    "distribution mode",
+    "poll, gossip or tree",
+    Poll = "poll",
+    Gossip = "gossip",
+    Tree = "tree",
+);
 
 /// Timing and sizes of distribution.
 #[derive(Debug, Clone)]
--- a/goldcresttally-membership/src/record.rs
+++ b/goldcresttally-membership/src/record.rs
@@ -2,10 +2,10 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::str::FromStr;
 
-use goldcresttally_core::errors::invalid;
-use goldcresttally_core::{DomainId, Generation, Incarnation, NodeId, RegionId, ServiceName};
+use goldcresttally_core::{
+    DomainId, Generation, Incarnation, NodeId, RegionId, ServiceName, text_enum,
+};
 
 /// What the members hold true of one node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -49,28 +49,14 @@
     Draining,
 }
 
-impl fmt::Display for UpstreamState {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Starting => "starting",
-            Self::Ready => "ready",
-            Self::Draining => "draining",
-        })
-    }
-}
-
-impl FromStr for UpstreamState {
-    type Err = goldcresttally_core::Error;
-
-    fn from_str(text: &str) -> goldcresttally_core::Result<Self> {
-        match text {
-            "starting" => Ok(Self::Starting),
-            "ready" => Ok(Self::Ready),
-            "draining" => Ok(Self::Draining),
-            _ => invalid("upstream state", text, "starting, ready or draining"),
-        }
-    }
-}
+text_enum!(
+    UpstreamState,
+    "upstream state",
+    "starting, ready or draining",
+    Starting = "starting",
+    Ready = "ready",
+    Draining = "draining",
+);
 
 /// An upstream beside a node, as other nodes need to know it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -48,7 +48,7 @@
         let mut guard = CancelGuard { entry: Arc::clone(entry), attempt: Some(attempt.clone()) };
         let req = self.request(attempt, body, keyed);
         let result = match attempt.endpoint.node == entry.state.identity.node {
-            true => Ok(entry.peer.handle(req).await),
+            true => Ok(entry.peer.answer(req).await),
             false => self.send(attempt, req).await,
         };
         let result = match result {
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -6,9 +6,7 @@
 mod observe;
 mod settle;
 
-use std::convert::Infallible;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 
 use goldcresttally_core::Verdict;
 use goldcresttally_report::Recorder;
@@ -16,12 +14,12 @@
 use http::{Request, Response};
 use tokio_util::task::TaskTracker;
 
-use crate::BoxFuture;
 use crate::body::CallBody;
 use crate::claims::ClaimStore;
 use crate::errors::CallError;
 use crate::link::Links;
 use crate::peer::Peer;
+use crate::service::Handler;
 use crate::state::State;
 use call::Call;
 
@@ -79,8 +77,7 @@
         }
     }
 
-    /// Takes a call from a caller and answers it.
-    pub async fn handle(self: Arc<Self>, req: Request<CallBody>) -> Response<CallBody> {
+    async fn answer(self: Arc<Self>, req: Request<CallBody>) -> Response<CallBody> {
         self.state.counters.calls.add();
         let started = self.state.clock.now();
         let (call, body) = match Call::route(&self, req, started) {
@@ -122,40 +119,8 @@
     }
 }
 
-/// Lets an entry serve as a tower service.
-#[derive(Debug, Clone)]
-pub struct EntryService(pub Arc<Entry>);
-
-impl tower::Service<Request<CallBody>> for EntryService {
-    type Response = Response<CallBody>;
-    type Error = Infallible;
-    type Future = BoxFuture<'static, Result<Response<CallBody>, Infallible>>;
-
-    fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, req: Request<CallBody>) -> Self::Future {
-        let entry = Arc::clone(&self.0);
-        Box::pin(async move { Ok(entry.handle(req).await) })
-    }
-}
-
-/// Lets a peer serve as a tower service.
-#[derive(Debug, Clone)]
-pub struct PeerService(pub Arc<Peer>);
-
-impl tower::Service<Request<CallBody>> for PeerService {
-    type Response = Response<CallBody>;
-    type Error = Infallible;
-    type Future = BoxFuture<'static, Result<Response<CallBody>, Infallible>>;
-
-    fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, req: Request<CallBody>) -> Self::Future {
-        let peer = Arc::clone(&self.0);
-        Box::pin(async move { Ok(peer.handle(req).await) })
+impl Handler for Entry {
+    async fn handle(self: Arc<Self>, req: Request<CallBody>) -> Response<CallBody> {
+        self.answer(req).await
     }
 }
--- a/goldcresttally-proxy/src/entry/settle.rs
+++ b/goldcresttally-proxy/src/entry/settle.rs
@@ -93,7 +93,7 @@
         let deadline = Deadline::after(self.state.clock.now(), limit);
         let req = self.control_request("cancel", attempt, deadline);
         if attempt.endpoint.node == self.state.identity.node {
-            self.peer.handle(req).await;
+            self.peer.answer(req).await;
             return;
         }
         // The deadline at the peer ends what a lost cancellation does not.
--- a/goldcresttally-proxy/src/lib.rs
+++ b/goldcresttally-proxy/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`transport`]: the border to the network.
 //! * [`server`]: accepts connections and finishes what is in flight when it stops.
 //! * [`workers`]: threads that serve calls, each with a runtime of its own.
+//! * [`service`]: serves handlers as tower services.
 //! * [`headers`], [`body`], [`clock`], [`counters`], [`errors`]: shared parts.
 
 pub mod body;
@@ -20,6 +21,7 @@
 pub mod link;
 pub mod peer;
 pub mod server;
+pub mod service;
 pub mod state;
 pub mod transport;
 pub mod workers;
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -21,6 +21,7 @@
 use crate::body::{CallBody, Replay, full};
 use crate::errors::{CallError, Reason};
 use crate::headers;
+use crate::service::Handler;
 use crate::state::State;
 use crate::transport::Transport;
 use attempts::Attempts;
@@ -126,7 +127,7 @@
     }
 
     /// Takes a message from another node, or from this node's own entry.
-    pub async fn handle(self: &Arc<Self>, req: Request<CallBody>) -> Response<CallBody> {
+    pub(crate) async fn answer(self: &Arc<Self>, req: Request<CallBody>) -> Response<CallBody> {
         let op = headers::parse::<String>(req.headers(), &headers::OP);
         match op.as_deref() {
             Some("call") => self.call(req).await,
@@ -168,3 +169,9 @@
             .unwrap_or_else(|| CallError::may_have_run(Reason::ConnectionLost).into_response())
     }
 }
+
+impl Handler for Peer {
+    async fn handle(self: Arc<Self>, req: Request<CallBody>) -> Response<CallBody> {
+        self.answer(req).await
+    }
+}
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -9,8 +9,9 @@
 use goldcresttally_core::{Generation, Incarnation};
 use goldcresttally_membership::{Record, Status};
 use goldcresttally_platform::{Document, HttpPlatform};
-use goldcresttally_proxy::entry::{Entry, EntryService, Options, PeerService};
+use goldcresttally_proxy::entry::{Entry, Options};
 use goldcresttally_proxy::link::Links;
+use goldcresttally_proxy::service::HandlerService;
 use goldcresttally_proxy::{
     Clock, Identity, Peer, State, TcpTransport, Transport, Workers, clock, server,
 };
@@ -116,7 +117,7 @@
             let recorder = Arc::clone(&recorder);
             let entry =
                 Entry::new(Arc::clone(&peer), links, claims, recorder, tasks.clone(), deps.entry);
-            EntryService(Arc::new(entry))
+            HandlerService(Arc::new(entry))
         };
         let entries = workers.handles().into_iter().zip(links.into_iter().map(entry)).collect();
         let mut node = Self {
@@ -139,7 +140,7 @@
 
     async fn listen(
         &mut self,
-        entries: Vec<(Handle, EntryService)>,
+        entries: Vec<(Handle, HandlerService<Entry>)>,
         table: HttpPlatform,
     ) -> io::Result<()> {
         let addresses = &self.settings.node;
@@ -157,7 +158,7 @@
         let (tasks, stop) = (&self.tasks, &self.stop);
         let serve = server::serve(calls, entries, self.stop_calls.clone(), tasks.clone());
         self.call_listeners.push(tokio::spawn(serve));
-        let peer = |handle| (handle, PeerService(Arc::clone(&self.peer)));
+        let peer = |handle| (handle, HandlerService(Arc::clone(&self.peer)));
         let peer = self.workers.handles().into_iter().map(peer).collect();
         self.listeners.push(tokio::spawn(server::serve(peers, peer, stop.clone(), tasks.clone())));
         let serve = operator::serve(operators, operator, stop.clone());
--- a/tally-lab/src/experiments/converge/fault.rs
+++ b/tally-lab/src/experiments/converge/fault.rs
@@ -1,7 +1,6 @@
 //! What goes wrong while changes are made.
 
-use std::fmt;
-use std::str::FromStr;
+use goldcresttally_core::text_enum;
 
 /// What goes wrong while changes are made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -24,35 +23,16 @@
     Race,
 }
 
-impl FromStr for Fault {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, String> {
-        match text {
-            "none" => Ok(Self::None),
-            "store-outage" => Ok(Self::StoreOutage),
-            "lost-answer" => Ok(Self::LostAnswer),
-            "partition" => Ok(Self::Partition),
-            "herd" => Ok(Self::Herd),
-            "loss" => Ok(Self::Loss),
-            "silence" => Ok(Self::Silence),
-            "race" => Ok(Self::Race),
-            _ => Err(format!("`{text}`: no such fault")),
-        }
-    }
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::None => "none",
-            Self::StoreOutage => "store-outage",
-            Self::LostAnswer => "lost-answer",
-            Self::Partition => "partition",
-            Self::Herd => "herd",
-            Self::Loss => "loss",
-            Self::Silence => "silence",
-            Self::Race => "race",
-        })
-    }
-}
+text_enum!(
+    Fault,
+    "fault",
+    "a fault that the help lists",
+    None = "none",
+    StoreOutage = "store-outage",
+    LostAnswer = "lost-answer",
+    Partition = "partition",
+    Herd = "herd",
+    Loss = "loss",
+    Silence = "silence",
+    Race = "race",
+);
--- a/tally-lab/src/experiments/flood.rs
+++ b/tally-lab/src/experiments/flood.rs
@@ -1,11 +1,10 @@
 //! What each rank keeps while one floods in far beyond capacity.
 
-use std::fmt;
-use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use goldcresttally_admission::Policy;
+use goldcresttally_core::text_enum;
 use goldcresttally_proxy::entry;
 use goldcresttally_standin::upstream::{Behaviour, Record};
 use serde_json::{Value, json};
@@ -42,26 +41,7 @@
     Agency,
 }
 
-impl FromStr for Site {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, String> {
-        match text {
-            "fjordleik" => Ok(Self::Fjordleik),
-            "agency" => Ok(Self::Agency),
-            _ => Err(format!("`{text}`: expected fjordleik or agency")),
-        }
-    }
-}
-
-impl fmt::Display for Site {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Fjordleik => "fjordleik",
-            Self::Agency => "agency",
-        })
-    }
-}
+text_enum!(Site, "site", "fjordleik or agency", Fjordleik = "fjordleik", Agency = "agency",);
 
 impl Site {
     fn instances(self) -> usize {
