--- a/goldcresttally-proxy/src/peer/gate.rs
+++ b/goldcresttally-proxy/src/peer/gate.rs
@@ -155,14 +155,12 @@
         inner.next += 1;
         let call = CallId(inner.next);
         let offer = Event::Offer { call, rank, deadline, on_time_by, target };
-        match inner.step(state, offer, Some(call)) {
-            Some(decision) => (call, Ok(decision)),
-            None => {
-                let (tx, rx) = oneshot::channel();
-                inner.waiting.insert(call, tx);
-                (call, Err(rx))
-            }
+        if let Some(decision) = inner.step(state, offer, Some(call)) {
+            return (call, Ok(decision));
         }
+        let (tx, rx) = oneshot::channel();
+        inner.waiting.insert(call, tx);
+        (call, Err(rx))
     }
 
     fn step(&self, state: &State, event: Event) {
