--- a/tally-lab/tests/versions_under_faults.rs
+++ b/tally-lab/tests/versions_under_faults.rs
@@ -158,3 +158,39 @@
     assert_eq!(bench.fleet.version(1), 1);
     bench.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn invalid_version_is_reported() {
+    use goldcresttally_config::{Manifest, SectionEntry};
+    use goldcresttally_distribution::{ChangedSection, VersionUpdate};
+    let bench = Bench::start(3, &[]).await;
+    // As a node of a later release might accept it: this release finds it invalid.
+    let changed = vec![ChangedSection {
+        name: "later".parse().unwrap(),
+        body: Arc::from("routes: [{path: /x, service: ghost, rank: urgent, idempotent: true}]"),
+    }];
+    let entries: Vec<SectionEntry> = changed.iter().map(ChangedSection::entry).collect();
+    let version = goldcresttally_core::Version(7);
+    let manifest = Manifest::new(version, entries).digest();
+    let base = goldcresttally_core::Version(0);
+    let update = VersionUpdate { version, base, manifest, changed, removed: Vec::new() };
+    let commands = bench.fleet.vms[1].node.as_ref().unwrap().commands().clone();
+    commands.send(goldcresttallyd::control::Command::Accepted(Arc::new(update))).await.unwrap();
+    let client = bench.fleet.operator(1);
+    for i in 0..200 {
+        let path = "/v1/rollout?version=7";
+        let rollout = client.json(http::Method::GET, path, String::new()).await.unwrap();
+        let lagging = rollout["lagging"].as_array().unwrap().clone();
+        if lagging.len() == 3 && lagging.iter().all(|n| n["reason"] == "refused") {
+            break;
+        }
+        assert!(i < 199, "{rollout}");
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    let status = client.json(http::Method::GET, "/v1/status", String::new()).await.unwrap();
+    assert_eq!(status["control"]["refused"], 7);
+    let refusal = status["control"]["refusal"].as_str().unwrap();
+    assert!(refusal.contains("section later") && refusal.contains("ghost"), "{refusal}");
+    assert_eq!(status["control"]["version"], 1);
+    bench.stop().await;
+}
