Section bodies are cached by digest; lab measures ledger memory and keyed calls

Cause: accepting reads all sections of the document, 310 object reads at the target size; bodies never change under their digest.

--- a/goldcresttally-platform/src/document/mod.rs
+++ b/goldcresttally-platform/src/document/mod.rs
@@ -4,6 +4,7 @@
 //! transaction, so racing operators get a conflict and never a lost edit.
 
 mod accept;
+mod cache;
 mod drafts;
 mod rows;
 
@@ -18,6 +19,7 @@
 use crate::object::ObjectStore;
 use crate::table::TableStore;
 pub use accept::{Accepted, Content};
+use cache::BodyCache;
 pub use drafts::DraftInfo;
 pub use rows::{Head, HistoryEntry};
 
@@ -26,12 +28,13 @@
 pub struct Document {
     table: Arc<dyn TableStore>,
     objects: Arc<dyn ObjectStore>,
+    bodies: Arc<BodyCache>,
 }
 
 impl Document {
     /// Returns the document kept in `table` and `objects`.
     pub fn new(table: Arc<dyn TableStore>, objects: Arc<dyn ObjectStore>) -> Self {
-        Self { table, objects }
+        Self { table, objects, bodies: Arc::default() }
     }
 
     /// Reads the head: the newest accepted version.
@@ -59,13 +62,18 @@
 
     /// Reads the section body named `digest`.
     pub async fn section_body(&self, digest: Digest) -> Result<Arc<str>> {
+        if let Some(body) = self.bodies.get(digest) {
+            return Ok(body);
+        }
         let key = rows::section_object_key(digest);
         let body = self.objects.get(&key).await?.ok_or_else(|| missing(&key))?;
         if Digest::of(&body) != digest {
             return Err(corrupt(&key, &"digest does not match"));
         }
         let text = std::str::from_utf8(&body).map_err(|e| corrupt(&key, &e))?;
-        Ok(Arc::from(text))
+        let body = Arc::from(text);
+        self.bodies.put(digest, &body);
+        Ok(body)
     }
 
     /// Reads the newest `limit` versions, the newest first.
--- a/tally-lab/src/experiments/hop.rs
+++ b/tally-lab/src/experiments/hop.rs
@@ -24,6 +24,9 @@
 /// Rates at which calls go through one entry node, per second.
 const RATES: [u64; 3] = [50, 500, 2000];
 
+/// Rate of calls with idempotency keys, per second.
+const KEYED_RATE: u64 = 200;
+
 /// Latency that may be added for 99 in 100 calls, in milliseconds.
 const ADDED_BOUND_MS: f64 = 0.5;
 
@@ -76,11 +79,21 @@
         ok &= pair.failed == 0 && pair.added_ms(0.99) <= ADDED_BOUND_MS;
         rows.push(row);
     }
+    let writes = fleet.platform.stats().writes;
+    let keyed = callers.handle.spawn(measure_keyed(entry, options.seconds));
+    let keyed = keyed.await.map_err(|e| e.to_string())?;
+    let writes = fleet.platform.stats().writes - writes;
     let saturated = saturate(entry).await;
     let figures = json!({
         "experiment": "hop",
         "seed": options.seed,
         "rates": rows,
+        "keyed": {
+            "calls_per_s": KEYED_RATE,
+            "p50_ms": rounded(keyed.value_at_quantile(0.5) as f64 / 10_000.0),
+            "p99_ms": rounded(keyed.value_at_quantile(0.99) as f64 / 10_000.0),
+            "table_writes_per_s": rounded(writes as f64 / options.seconds as f64),
+        },
         "saturated": saturated,
     });
     let stopped = upstream_runtime.handle.spawn(echo.stop());
@@ -146,6 +159,34 @@
     pair
 }
 
+/// Makes calls with idempotency keys through two nodes.
+async fn measure_keyed(entry: SocketAddr, seconds: u64) -> Histogram<u64> {
+    let mut latencies = histogram();
+    let caller = Caller::default();
+    let mut calls = JoinSet::new();
+    let mut ticks = tokio::time::interval(Duration::from_secs_f64(1.0 / KEYED_RATE as f64));
+    for n in 0..KEYED_RATE * seconds {
+        ticks.tick().await;
+        let caller = caller.clone();
+        calls.spawn(async move {
+            let spec = Spec {
+                id: format!("keyed-{n}"),
+                path: "/echo/urgent/keyed".to_owned(),
+                method: Method::POST,
+                key: Some(format!("key-{n}")),
+                ..Spec::default()
+            };
+            caller.call(entry, &spec).await
+        });
+    }
+    while let Some(Ok((outcome, latency))) = calls.join_next().await {
+        if outcome == Outcome::Answered {
+            latencies.saturating_record(latency.as_nanos() as u64 / 100);
+        }
+    }
+    latencies
+}
+
 impl Pair {
     fn add(&mut self, (through, (outcome, latency)): (bool, (Outcome, Duration))) {
         self.failed += u64::from(outcome != Outcome::Answered);
--- a/tally-lab/src/experiments/scale.rs
+++ b/tally-lab/src/experiments/scale.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use goldcresttally_config::{Manifest, SectionEntry, Snapshot};
-use goldcresttally_core::{Generation, Incarnation, MonoTime, NodeId, Version};
+use goldcresttally_core::{AttemptId, Generation, Incarnation, MonoTime, NodeId, Version};
 use goldcresttally_distribution::{
     self as distribution, Bundle, ChangedSection, Distribution, VersionUpdate,
 };
+use goldcresttally_ledger::{self as ledger, Ledger};
 use goldcresttally_membership::{
     self as members, Body, Header, Membership, Message, Record, Status, Upstream, UpstreamState,
 };
@@ -25,6 +26,9 @@
 /// Simulated time, in seconds.
 const SECONDS: u64 = 60;
 
+/// Attempts in the ledger whose memory is measured.
+const LEDGER_ENTRIES: usize = 200_000;
+
 /// Interval of ticks, in milliseconds.
 const TICK_MS: u64 = 50;
 
@@ -59,6 +63,7 @@
         "membership_bytes_per_s": rounded(bytes_per_s),
         "membership_mb": rounded(membership_mb),
         "document_mb": rounded(document_mb),
+        "ledger_bytes_per_attempt": rounded(ledger_bytes_per_attempt()),
         "install_ms": rounded(install_ms),
         "update_bytes": delta_bytes,
         "update_bytes_per_s": rounded(delta_per_s),
@@ -179,6 +184,23 @@
     format!("service-{service}")
 }
 
+/// Measures the memory that one remembered attempt without an answer takes.
+fn ledger_bytes_per_attempt() -> f64 {
+    let before = rss_mb();
+    let options = ledger::Options { entries: LEDGER_ENTRIES, ..ledger::Options::default() };
+    let mut ledger = Ledger::new(options);
+    let origin = NodeId(([10, 0, 0, 1], 7400).into());
+    let deadline = goldcresttally_core::Deadline(MonoTime::from_millis(5000));
+    for sequence in 0..LEDGER_ENTRIES as u64 {
+        let id = AttemptId { origin, generation: Generation(1), sequence };
+        // Neither can fail: the ledger is as large as the loop, and nobody else asks.
+        let _ = ledger.begin(MonoTime(0), id, deadline, None);
+        let _ = ledger.dispatch(id);
+        ledger.done(id, None);
+    }
+    (rss_mb() - before) * 1e6 / ledger.len() as f64
+}
+
 /// Measures a document with all services: memory, time to install a change, bytes of a change.
 fn document_cost() -> Result<(f64, f64, usize), String> {
     let before = rss_mb();
