Calls: the verdict counts all attempts

An idempotent call whose first attempt may have run was tried again, the second attempt did not run, and the caller was told the second verdict alone. Ruled out: the upstream connection (a request is only counted unsent when hyper gives it back), the shed answer. Change: verdicts are ordered, and a call that fails gets the maximum over its attempts. Test: broken_connections.rs earlier_attempt_counts fails before (NotRun) and passes after.

--- a/goldcresttally-core/src/verdict.rs
+++ b/goldcresttally-core/src/verdict.rs
@@ -3,9 +3,12 @@
 use crate::text_enum;
 
 /// Says whether a request that failed may have had an effect at an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+///
+/// Verdicts are ordered: the one on several attempts together is their maximum.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Verdict {
     /// It did not run and will not run later; repeating it is safe.
+    #[default]
     NotRun,
     /// Nobody reachable knows; only an idempotent request may be repeated.
     MayHaveRun,
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use goldcresttally_config::{KeyPolicy, Route};
-use goldcresttally_core::{AttemptId, Deadline, MonoTime, NodeId};
+use goldcresttally_core::{AttemptId, Deadline, MonoTime, NodeId, Verdict};
 use goldcresttally_routing::Endpoint;
 use http::header::EXPECT;
 use http::request::Parts;
@@ -51,6 +51,8 @@
     /// The node that the last refusal named.
     hint: Option<NodeId>,
     made: u32,
+    /// The verdict on all attempts so far.
+    verdict: Verdict,
 }
 
 impl Call {
@@ -102,11 +104,21 @@
 
     async fn run_unkeyed(&self, body: &Replay<CallBody>) -> Result<Response<CallBody>, CallError> {
         let mut tries = Tries::default();
+        let result = self.try_until_answered(&mut tries, body).await;
+        // A later attempt that did not run says nothing about an earlier one.
+        result.map_err(|e| CallError { verdict: e.verdict.max(tries.verdict), ..e })
+    }
+
+    async fn try_until_answered(
+        &self,
+        tries: &mut Tries,
+        body: &Replay<CallBody>,
+    ) -> Result<Response<CallBody>, CallError> {
         loop {
-            let attempt = self.next_attempt(&mut tries)?;
+            let attempt = self.next_attempt(tries)?;
             match self.attempt(&attempt, body, false).await {
                 Ok(response) => return Ok(response),
-                Err(error) => self.check_retry(&mut tries, &error, body).await?,
+                Err(error) => self.check_retry(tries, &error, body).await?,
             }
         }
     }
@@ -140,6 +152,7 @@
         error: &CallError,
         body: &Replay<CallBody>,
     ) -> Result<(), CallError> {
+        tries.verdict = tries.verdict.max(error.verdict);
         let give_up = || Err(error.clone());
         let retryable = error.verdict.may_retry(self.route.idempotent) && body.can_send();
         // The caller's own mistakes and a deadline that has passed stay what they are.
--- a/tally-lab/tests/broken_connections.rs
+++ b/tally-lab/tests/broken_connections.rs
@@ -27,6 +27,16 @@
     bench.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn earlier_attempt_counts() {
+    let mut bench = Bench::start(2, &[(1, behaviour())]).await;
+    // The first attempt may have run; that the second cannot even be sent does not change that.
+    let call = bench.call_until_running(0, &spec("read", "read", 60_000.0)).await;
+    bench.fleet.kill_node(1).await;
+    assert_eq!(call.await.unwrap(), Outcome::MayHaveRun);
+    bench.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_link_is_settled() {
     let bench = Bench::start(2, &[(1, behaviour())]).await;
