--- a/goldcresttally-core/src/ids.rs
+++ b/goldcresttally-core/src/ids.rs
@@ -28,7 +28,7 @@
 
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
+                f.pad(&self.0)
             }
         }
 
--- a/goldcresttally-core/tests/newtype_text.rs
+++ b/goldcresttally-core/tests/newtype_text.rs
@@ -22,6 +22,12 @@
     });
 }
 
+#[test]
+fn names_fill_columns() {
+    let name: ServiceName = "booking".parse().unwrap();
+    assert_eq!(format!("{name:<10}|"), "booking   |");
+}
+
 #[test]
 fn arbitrary_text_never_panics() {
     arbtest::arbtest(|u| {
