Routing: the decision to try again is a machine of its own

Cause: it stood in asynchronous code of the entry, where no test could reach it alone. Change: Tries in goldcresttally-routing takes time and failures and answers; the entry drives it. Tests: retry_decisions.rs, redirects as a property.

--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use goldcresttally_config::{KeyPolicy, Route};
-use goldcresttally_core::{AttemptId, Deadline, MonoTime, NodeId, Verdict};
-use goldcresttally_routing::Endpoint;
+use goldcresttally_core::{AttemptId, Deadline, MonoTime};
+use goldcresttally_routing::{Endpoint, Failure, Tries, TryLimits};
 use http::header::EXPECT;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
@@ -19,9 +19,6 @@
 /// Longest random wait before another attempt, in milliseconds.
 const RETRY_JITTER_MS: u64 = 10;
 
-/// Most redirect hints that one call follows (RFC 5685, section 7: `MAX_REDIRECTS`).
-const REDIRECT_LIMIT: usize = 2;
-
 /// A call that has a route.
 pub(super) struct Call {
     pub entry: Arc<Entry>,
@@ -42,19 +39,6 @@
     pub endpoint: Endpoint,
 }
 
-/// What the attempts of one call have in common.
-#[derive(Debug, Default)]
-pub(super) struct Tries {
-    /// Nodes that were tried.
-    tried: Vec<NodeId>,
-    redirects: usize,
-    /// The node that the last refusal named.
-    hint: Option<NodeId>,
-    made: u32,
-    /// The verdict on all attempts so far.
-    verdict: Verdict,
-}
-
 impl Call {
     /// Finds the route of a request and checks what can be checked without its body.
     pub fn route(
@@ -106,7 +90,7 @@
         let mut tries = Tries::default();
         let result = self.try_until_answered(&mut tries, body).await;
         // A later attempt that did not run says nothing about an earlier one.
-        result.map_err(|e| CallError { verdict: e.verdict.max(tries.verdict), ..e })
+        result.map_err(|e| CallError { verdict: e.verdict.max(tries.verdict()), ..e })
     }
 
     async fn try_until_answered(
@@ -131,17 +115,16 @@
         let now = self.entry.state.clock.now();
         let random = |n| fastrand::usize(..n);
         let rank = self.route.rank.index;
-        let hinted = tries.hint.take().and_then(|hint| all.iter().find(|e| e.node == hint));
+        let hinted = tries.take_hint().and_then(|hint| all.iter().find(|e| e.node == hint));
         if hinted.is_some() {
             self.entry.state.counters.redirects.add();
         }
         let picked = hinted
-            .or_else(|| self.entry.picker.pick(now, rank, all, &tries.tried, random))
+            .or_else(|| self.entry.picker.pick(now, rank, all, tries.tried(), random))
             // All were tried: a refusal by one of them may be over by now.
             .or_else(|| self.entry.picker.pick(now, rank, all, &[], random));
         let endpoint = picked.ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?.clone();
-        tries.tried.push(endpoint.node);
-        tries.made += 1;
+        tries.begin(endpoint.node);
         Ok(Attempt { id: self.entry.state.next_attempt(), endpoint })
     }
 
@@ -152,25 +135,21 @@
         error: &CallError,
         body: &Replay<CallBody>,
     ) -> Result<(), CallError> {
-        tries.verdict = tries.verdict.max(error.verdict);
-        let give_up = || Err(error.clone());
-        let retryable = error.verdict.may_retry(self.route.idempotent) && body.can_send();
-        // The caller's own mistakes and a deadline that has passed stay what they are.
-        let hopeless = matches!(error.reason, Reason::BadRequest | Reason::NoEndpoint);
-        if !retryable || hopeless || tries.made > u32::from(self.route.retries) {
-            return give_up();
-        }
-        if self.deadline.is_past(self.entry.state.clock.now()) {
-            return give_up();
-        }
+        let failure = Failure {
+            verdict: error.verdict,
+            can_pass: !matches!(error.reason, Reason::BadRequest | Reason::NoEndpoint),
+            can_resend: body.can_send(),
+            redirect: error.redirect,
+        };
+        let limits = TryLimits {
+            idempotent: self.route.idempotent,
+            retries: self.route.retries,
+            deadline: self.deadline,
+        };
         let budget = self.limits().map(|l| &l.retries);
-        if self.entry.options.retry_budget && budget.is_some_and(|b| !b.take()) {
-            return give_up();
-        }
-        let hint = error.redirect.filter(|node| !tries.tried.contains(node));
-        if hint.is_some() && tries.redirects < REDIRECT_LIMIT {
-            tries.redirects += 1;
-            tries.hint = hint;
+        let budget = budget.filter(|_| self.entry.options.retry_budget);
+        if !tries.on_failure(self.entry.state.clock.now(), failure, limits, budget) {
+            return Err(error.clone());
         }
         self.entry.state.counters.retries.add();
         let jitter = Duration::from_millis(fastrand::u64(0..=RETRY_JITTER_MS));
--- a/goldcresttally-proxy/src/entry/keyed.rs
+++ b/goldcresttally-proxy/src/entry/keyed.rs
@@ -8,10 +8,10 @@
 use goldcresttally_config::{Digest, OutagePolicy};
 use goldcresttally_core::{Deadline, Verdict};
 use goldcresttally_ledger::{Claim, ClaimState, Fingerprint, Settlement};
-use goldcresttally_routing::{Endpoint, Locality, Observed};
+use goldcresttally_routing::{Endpoint, Locality, Observed, Tries};
 use http::{HeaderValue, Response, StatusCode};
 
-use super::call::{Attempt, Call, Tries};
+use super::call::{Attempt, Call};
 use super::settle::answer_response;
 use crate::body::{CallBody, Replay, full};
 use crate::claims::ClaimWrite;
--- a/goldcresttally-routing/src/lib.rs
+++ b/goldcresttally-routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`picker`]: power of two choices, own failure domain first, with spill.
 //! * [`ejection`]: endpoints that fail are left out for a while, up to a share of them.
 //! * [`budget`]: bounds retries to a share of the calls.
+//! * [`tries`]: whether a call that failed is tried again.
 //! * [`throttle`]: refuses early what the upstreams would refuse anyway.
 
 pub mod budget;
@@ -11,9 +12,11 @@
 pub mod endpoint;
 pub mod picker;
 pub mod throttle;
+pub mod tries;
 
 pub use budget::RetryBudget;
 pub use ejection::Ejection;
 pub use endpoint::{Endpoint, Locality, Observed};
 pub use picker::Picker;
 pub use throttle::Throttle;
+pub use tries::{Failure, Tries, TryLimits};
--- /dev/null
+++ b/goldcresttally-routing/src/tries.rs
@@ -0,0 +1,97 @@
+//! Decides whether a call that failed is tried again, and what its caller is told at last.
+
+use goldcresttally_core::{Deadline, MonoTime, NodeId, Verdict};
+
+use crate::budget::RetryBudget;
+
+/// Most redirect hints that one call follows (RFC 5685, section 7: `MAX_REDIRECTS`).
+const REDIRECT_LIMIT: usize = 2;
+
+/// What bounds the attempts of one call.
+#[derive(Debug, Clone, Copy)]
+pub struct TryLimits {
+    /// Whether running the call twice has the same effect as once.
+    pub idempotent: bool,
+    /// Most attempts after the first.
+    pub retries: u8,
+    /// When an answer is of no use any more.
+    pub deadline: Deadline,
+}
+
+/// How one attempt failed.
+#[derive(Debug, Clone, Copy)]
+pub struct Failure {
+    /// Whether the attempt may have run.
+    pub verdict: Verdict,
+    /// Whether another attempt could end otherwise.
+    pub can_pass: bool,
+    /// Whether the request can be sent from its start once more.
+    pub can_resend: bool,
+    /// A less loaded node that the refusal named.
+    pub redirect: Option<NodeId>,
+}
+
+/// The attempts of one call.
+#[derive(Debug, Default)]
+pub struct Tries {
+    tried: Vec<NodeId>,
+    redirects: usize,
+    hint: Option<NodeId>,
+    verdict: Verdict,
+}
+
+impl Tries {
+    /// Notes that an attempt is made at `node`.
+    pub fn begin(&mut self, node: NodeId) {
+        self.tried.push(node);
+    }
+
+    /// Returns the nodes that were tried.
+    pub fn tried(&self) -> &[NodeId] {
+        &self.tried
+    }
+
+    /// Takes the node that the last refusal named, if it may be followed.
+    pub fn take_hint(&mut self) -> Option<NodeId> {
+        self.hint.take()
+    }
+
+    /// Returns the verdict on all attempts that have failed.
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
+    /// Notes a failure; returns whether another attempt is to be made.
+    ///
+    /// The budget, where there is one, is only charged when everything else allows the attempt.
+    pub fn on_failure(
+        &mut self,
+        now: MonoTime,
+        failure: Failure,
+        limits: TryLimits,
+        budget: Option<&RetryBudget>,
+    ) -> bool {
+        self.verdict = self.verdict.max(failure.verdict);
+        let safe = failure.verdict.may_retry(limits.idempotent) && failure.can_resend;
+        let left = self.tried.len() <= usize::from(limits.retries);
+        if !safe || !failure.can_pass || !left || limits.deadline.is_past(now) {
+            return false;
+        }
+        if budget.is_some_and(|b| !b.take()) {
+            return false;
+        }
+        self.note_hint(failure.redirect);
+        true
+    }
+
+    /// Keeps a hint unless it leads back or one too many was followed.
+    fn note_hint(&mut self, hint: Option<NodeId>) {
+        self.hint = hint.filter(|node| !self.tried.contains(node));
+        if self.hint.is_some() {
+            self.redirects += 1;
+        }
+        if self.redirects > REDIRECT_LIMIT {
+            self.hint = None;
+        }
+    }
+}
--- /dev/null
+++ b/goldcresttally-routing/tests/retry_decisions.rs
@@ -0,0 +1,100 @@
+//! Which failures are tried again, and what the caller is told when none is.
+
+use std::time::Duration;
+
+use goldcresttally_core::{Deadline, MonoTime, NodeId, Verdict};
+use goldcresttally_routing::{Failure, RetryBudget, Tries, TryLimits};
+
+const NOW: MonoTime = MonoTime::from_millis(1000);
+
+fn node(n: u16) -> NodeId {
+    NodeId(([10, 0, 0, 1], n).into())
+}
+
+fn limits(idempotent: bool) -> TryLimits {
+    TryLimits { idempotent, retries: 2, deadline: Deadline::after(NOW, Duration::from_secs(1)) }
+}
+
+fn failure(verdict: Verdict) -> Failure {
+    Failure { verdict, can_pass: true, can_resend: true, redirect: None }
+}
+
+#[test]
+fn doubt_is_not_repeated() {
+    let mut tries = Tries::default();
+    tries.begin(node(1));
+    assert!(!tries.on_failure(NOW, failure(Verdict::MayHaveRun), limits(false), None));
+    assert!(tries.on_failure(NOW, failure(Verdict::NotRun), limits(false), None));
+    assert!(tries.on_failure(NOW, failure(Verdict::MayHaveRun), limits(true), None));
+}
+
+#[test]
+fn doubt_outlasts_later_refusals() {
+    let mut tries = Tries::default();
+    for (n, verdict) in [Verdict::MayHaveRun, Verdict::NotRun].into_iter().enumerate() {
+        tries.begin(node(n as u16));
+        tries.on_failure(NOW, failure(verdict), limits(true), None);
+    }
+    assert_eq!(tries.verdict(), Verdict::MayHaveRun);
+}
+
+#[test]
+fn attempts_are_bounded() {
+    let mut tries = Tries::default();
+    let mut made = 0;
+    loop {
+        tries.begin(node(made));
+        made += 1;
+        if !tries.on_failure(NOW, failure(Verdict::NotRun), limits(true), None) {
+            break;
+        }
+    }
+    assert_eq!(made, 3);
+}
+
+#[test]
+fn nothing_after_the_deadline() {
+    let mut tries = Tries::default();
+    tries.begin(node(1));
+    let later = NOW + Duration::from_secs(2);
+    assert!(!tries.on_failure(later, failure(Verdict::NotRun), limits(true), None));
+}
+
+#[test]
+fn sent_body_cannot_be_resent() {
+    let mut tries = Tries::default();
+    tries.begin(node(1));
+    let sent = Failure { can_resend: false, ..failure(Verdict::NotRun) };
+    assert!(!tries.on_failure(NOW, sent, limits(true), None));
+}
+
+#[test]
+fn budget_is_charged_last() {
+    let budget = RetryBudget::new(0.0);
+    while budget.take() {}
+    let mut tries = Tries::default();
+    tries.begin(node(1));
+    assert!(!tries.on_failure(NOW, failure(Verdict::NotRun), limits(true), Some(&budget)));
+}
+
+#[test]
+fn redirects_end() {
+    arbtest::arbtest(|u| {
+        let mut tries = Tries::default();
+        let mut followed = 0;
+        for _ in 0..u.int_in_range(1..=12)? {
+            let next = tries.take_hint();
+            followed += usize::from(next.is_some());
+            let at = next.unwrap_or(node(u.int_in_range(0..=3)?));
+            // A hint never leads back to a node that was tried.
+            assert!(next.is_none() || !tries.tried().contains(&at));
+            tries.begin(at);
+            let redirect = Some(node(u.int_in_range(0..=9)?));
+            let refused = Failure { redirect, ..failure(Verdict::NotRun) };
+            let limits = TryLimits { retries: 200, ..limits(false) };
+            tries.on_failure(NOW, refused, limits, None);
+        }
+        assert!(followed <= 2);
+        Ok(())
+    });
+}
