--- a/goldcresttallyd/src/control/server.rs
+++ b/goldcresttallyd/src/control/server.rs
@@ -1,7 +1,7 @@
 //! Answers other nodes on the control listener.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -68,7 +68,8 @@
     let (reader, writer) = (reader.compat(), writer.compat_write());
     let network = VatNetwork::new(reader, writer, Side::Server, reader_options());
     let stop = control.stop.clone();
-    let client: control::Client = capnp_rpc::new_client(Service { control });
+    let client: control::Client =
+        capnp_rpc::new_client(Service { control: Rc::downgrade(&control) });
     let mut system = RpcSystem::new(Box::new(network), Some(client.client));
     let limit = Duration::from_secs(SILENCE_LIMIT_S);
     loop {
@@ -91,8 +92,21 @@
     }
 }
 
+/// Answers one connection.
+///
+/// It does not own the control state: the connection's own state may outlive the thread's tasks,
+/// and must not keep the sockets open.
 struct Service {
-    control: Rc<Control>,
+    control: Weak<Control>,
+}
+
+/// Tells whether another join may be served in this second.
+fn admits_join(control: &Control) -> bool {
+    let second = control.now().0 / 1_000_000;
+    let (last, served) = control.joins_served.get();
+    let served = if last == second { served + 1 } else { 1 };
+    control.joins_served.set((second, served));
+    served <= JOINS_PER_SECOND
 }
 
 fn refused(e: &goldcresttally_wire::Error) -> Error {
@@ -100,13 +114,8 @@
 }
 
 impl Service {
-    /// Tells whether another join may be served in this second.
-    fn admits_join(&self) -> bool {
-        let second = self.control.now().0 / 1_000_000;
-        let (last, served) = self.control.joins_served.get();
-        let served = if last == second { served + 1 } else { 1 };
-        self.control.joins_served.set((second, served));
-        served <= JOINS_PER_SECOND
+    fn control(&self) -> Result<Rc<Control>, Error> {
+        self.control.upgrade().ok_or_else(|| Error::disconnected("the node stops".to_owned()))
     }
 }
 
@@ -116,15 +125,16 @@
         params: control::JoinParams,
         mut results: control::JoinResults,
     ) -> Result<(), Error> {
+        let control = self.control()?;
         let joining = record::read(params.get()?.get_record()?).map_err(|e| refused(&e))?;
         let mut results = results.get();
-        if !self.admits_join() {
+        if !admits_join(&control) {
             results.set_busy(true);
             return Ok(());
         }
         // The answer is made first: it must show what was known of the address before.
         let (floor, version, ready, records) = {
-            let machines = self.control.machines.borrow();
+            let machines = control.machines.borrow();
             let membership = &machines.membership;
             let records: Vec<_> = membership.records().chain([membership.own()]).cloned().collect();
             let version = machines.distribution.version();
@@ -135,7 +145,7 @@
         results.set_knows_floor(ready);
         results.set_version(version.0);
         record::write_list(&records, results.init_records(records.len() as u32));
-        self.control.on_members(members::Event::Learned(vec![joining]));
+        control.on_members(members::Event::Learned(vec![joining]));
         Ok(())
     }
 
@@ -144,8 +154,9 @@
         params: control::CompareParams,
         mut results: control::CompareResults,
     ) -> Result<(), Error> {
+        let control = self.control()?;
         let hashes: Vec<u64> = params.get()?.get_hashes()?.iter().collect();
-        let records = self.control.machines.borrow().membership.differing(&hashes);
+        let records = control.machines.borrow().membership.differing(&hashes);
         record::write_list(&records, results.get().init_records(records.len() as u32));
         Ok(())
     }
@@ -155,8 +166,9 @@
         params: control::OfferParams,
         _results: control::OfferResults,
     ) -> Result<(), Error> {
+        let control = self.control()?;
         let records = record::read_list(params.get()?.get_records()?).map_err(|e| refused(&e))?;
-        self.control.on_members(members::Event::Learned(records));
+        control.on_members(members::Event::Learned(records));
         Ok(())
     }
 
@@ -165,6 +177,7 @@
         params: control::PushParams,
         _results: control::PushResults,
     ) -> Result<(), Error> {
+        let control = self.control()?;
         let params = params.get()?;
         let from: NodeId = params
             .get_from()?
@@ -172,7 +185,7 @@
             .parse()
             .map_err(|e: goldcresttally_core::Error| Error::failed(e.to_string()))?;
         let update = update::read(params.get_update()?).map_err(|e| refused(&e))?;
-        self.control.on_distribution(Event::Pushed { from, update: Arc::new(update) });
+        control.on_distribution(Event::Pushed { from, update: Arc::new(update) });
         Ok(())
     }
 
@@ -181,8 +194,9 @@
         params: control::FetchParams,
         mut results: control::FetchResults,
     ) -> Result<(), Error> {
+        let control = self.control()?;
         let known = Version(params.get()?.get_known());
-        let held = self.control.machines.borrow().distribution.update_since(known);
+        let held = control.machines.borrow().distribution.update_since(known);
         update::write(&held, results.get().init_update());
         Ok(())
     }
@@ -192,6 +206,7 @@
         params: control::ClaimParams,
         mut results: control::ClaimResults,
     ) -> Result<(), Error> {
+        let control = self.control()?;
         let claims = params.get()?.get_claims()?;
         if claims.len() > CLAIM_LIMIT {
             return Err(Error::failed(format!("more than {CLAIM_LIMIT} claims")));
@@ -199,7 +214,7 @@
         let mut waiting = Vec::new();
         for claim in claims {
             let (reply, answer) = oneshot::channel();
-            self.control.queue_claim(PendingClaim {
+            control.queue_claim(PendingClaim {
                 key: claim.get_key()?.to_string()?,
                 expected: claim.get_expected(),
                 value: claim.get_value()?.to_string()?,
--- a/tally-lab/src/experiments/faults/mod.rs
+++ b/tally-lab/src/experiments/faults/mod.rs
@@ -156,7 +156,10 @@
         let limit = Duration::from_secs(20);
         let up = self.fleet.wait_version(version, limit).await
             && self.fleet.wait_endpoints("booking", NODES, limit).await;
-        up.then_some(()).ok_or_else(|| "the fleet did not come up".to_owned())
+        up.then_some(()).ok_or_else(|| {
+            let versions: Vec<u64> = (0..NODES).map(|i| self.fleet.version(i)).collect();
+            format!("the fleet did not come up: versions {versions:?}")
+        })
     }
 
     async fn happen(&mut self, kind: Kind) -> Result<(), String> {
