--- a/goldcresttallyd/src/control/server.rs
+++ b/goldcresttallyd/src/control/server.rs
@@ -206,7 +206,6 @@
         params: control::ClaimParams,
         mut results: control::ClaimResults,
     ) -> Result<(), Error> {
-        let control = self.control()?;
         let claims = params.get()?.get_claims()?;
         if claims.len() > CLAIM_LIMIT {
             return Err(Error::failed(format!("more than {CLAIM_LIMIT} claims")));
@@ -214,7 +213,7 @@
         let mut waiting = Vec::new();
         for claim in claims {
             let (reply, answer) = oneshot::channel();
-            control.queue_claim(PendingClaim {
+            self.control()?.queue_claim(PendingClaim {
                 key: claim.get_key()?.to_string()?,
                 expected: claim.get_expected(),
                 value: claim.get_value()?.to_string()?,
