An upstream that takes no connections loses its lease; floors start with a turn

Change: three calls in a row without a connection end the lease; the upstream announces itself anew. Test: upstream_answers.rs crashed_upstream_loses_its_lease.

--- a/goldcresttally-admission/src/queue.rs
+++ b/goldcresttally-admission/src/queue.rs
@@ -46,7 +46,8 @@
     /// Sets the floor share of each rank, the most urgent first.
     pub fn set_floors(&mut self, floors: &[f64]) {
         let count = floors.len().max(self.lanes.len()).max(1);
-        self.lanes.resize_with(count, Lane::default);
+        // The first call of a rank has its turn at once.
+        self.lanes.resize_with(count, || Lane { credit: 1.0, ..Lane::default() });
         for (i, lane) in self.lanes.iter_mut().enumerate() {
             lane.floor = floors.get(i).copied().unwrap_or(0.0);
         }
@@ -88,7 +89,8 @@
         }
         for lane in &mut self.lanes {
             lane.credit = match lane.waiting.is_empty() {
-                true => 0.0,
+                // What a rank has saved up so far is not lost to a moment without calls.
+                true => lane.credit.min(1.0),
                 false => (lane.credit + lane.floor).min(CREDIT_LIMIT),
             };
         }
--- a/goldcresttally-admission/tests/floor_shares.rs
+++ b/goldcresttally-admission/tests/floor_shares.rs
@@ -32,6 +32,31 @@
     assert!(shares[0] >= 0.84, "{shares:?}");
 }
 
+#[test]
+fn sparse_rank_keeps_its_floor() {
+    // A lesser rank offers half as much again as its floor, so that its queue is often empty.
+    let mut bench = Bench::new(6, 48, &[0.0, 0.1]);
+    let mut lesser = std::collections::BTreeSet::new();
+    let (mut served, mut total) = (0u32, 0u32);
+    for ms in 0..60_000u64 {
+        bench.advance_to(ms);
+        bench.finish_older_than(100);
+        if ms % 4 == 0 {
+            bench.offer_within(0, 5000, 250);
+        }
+        // 9 calls a second, where the floor is 6.
+        if ms % 111 == 0 {
+            lesser.insert(bench.offer_within(1, 5000, 1000));
+        }
+        for call in bench.dispatched() {
+            total += 1;
+            served += u32::from(lesser.contains(&call));
+        }
+    }
+    let share = f64::from(served) / f64::from(total);
+    assert!(share >= 0.1, "{served} of {total}");
+}
+
 #[test]
 fn without_floors_urgent_takes_all() {
     let shares = served_in_flood(&[0.0, 0.0]);
--- a/goldcresttally-proxy/src/peer/gate.rs
+++ b/goldcresttally-proxy/src/peer/gate.rs
@@ -1,6 +1,7 @@
 //! Drives the admission machine of one upstream.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use goldcresttally_admission::{
@@ -15,6 +16,9 @@
 use crate::errors::{CallError, Reason};
 use crate::state::State;
 
+/// Calls in a row that could not be sent after which an upstream counts as gone.
+const UNREACHABLE_CALLS: u32 = 3;
+
 type Decision = Result<(), Refusal>;
 
 #[derive(Debug)]
@@ -30,6 +34,8 @@
 pub struct Gate {
     inner: Mutex<Inner>,
     pool: UpstreamPool,
+    /// Calls in a row that could not be sent because no connection stood.
+    unreachable: AtomicU32,
 }
 
 /// A place at the gate: waiting, then running; given back when it is dropped.
@@ -71,7 +77,8 @@
             next: 0,
             actions: Vec::new(),
         };
-        Self { inner: Mutex::new(inner), pool: UpstreamPool::new(address) }
+        let pool = UpstreamPool::new(address);
+        Self { inner: Mutex::new(inner), pool, unreachable: AtomicU32::new(0) }
     }
 
     /// Returns the upstream's address.
@@ -90,6 +97,20 @@
         (inner.admission.competitors(rank), inner.admission.load().limit)
     }
 
+    /// Notes whether a call could be sent.
+    pub(super) fn note_sent(&self, sent: bool) {
+        if sent {
+            self.unreachable.store(0, Ordering::Relaxed);
+        } else {
+            self.unreachable.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Tells whether the upstream has not taken connections for several calls in a row.
+    pub(super) fn is_unreachable(&self) -> bool {
+        self.unreachable.load(Ordering::Relaxed) >= UNREACHABLE_CALLS
+    }
+
     pub(super) fn pool(&self) -> &UpstreamPool {
         &self.pool
     }
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -121,6 +121,17 @@
         gates.iter().flat_map(load).collect()
     }
 
+    /// Returns the upstreams that take no connections; their leases are not worth waiting for.
+    pub fn unreachable(&self) -> Vec<(ServiceName, SocketAddr)> {
+        let gates = self.gates.load();
+        let gone = |(service, list): (&ServiceName, &Vec<Arc<Gate>>)| {
+            let service = service.clone();
+            let gone = list.iter().filter(|g| g.is_unreachable());
+            gone.map(|g| (service.clone(), g.address())).collect::<Vec<_>>()
+        };
+        gates.iter().flat_map(gone).collect()
+    }
+
     /// Returns the number of attempts in the ledger and the bytes of answers kept.
     pub fn ledger_size(&self) -> (usize, usize) {
         self.attempts.size()
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -86,6 +86,7 @@
                 return self.abandon(Reason::Deadline);
             }
         };
+        gate.note_sent(!matches!(sent, Err(UpstreamError::NotSent)));
         match sent {
             Err(UpstreamError::NotSent) => self.refuse(CallError::not_run(Reason::Unreachable)),
             Err(UpstreamError::Lost) => self.abandon(Reason::ConnectionLost),
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -176,6 +176,7 @@
         self.on_members(members::Event::Tick);
         self.on_distribution(distribution::Event::Tick);
         self.expire_leases();
+        self.withdraw_unreachable();
         self.join_if_due();
         self.write_claims_if_due();
         self.peer.tick();
--- a/goldcresttallyd/src/control/membership.rs
+++ b/goldcresttallyd/src/control/membership.rs
@@ -102,6 +102,19 @@
         known
     }
 
+    /// Ends the leases of upstreams that take no connections; one that lives announces itself anew.
+    pub(super) fn withdraw_unreachable(self: &Rc<Self>) {
+        let gone = self.peer.unreachable();
+        let mut withdrawn = false;
+        for (service, address) in &gone {
+            withdrawn |= self.machines.borrow_mut().registry.withdraw(service, *address);
+            emit(events::UPSTREAM_UNREACHABLE, format_args!("{service} at {address}"));
+        }
+        if withdrawn {
+            self.publish_upstreams();
+        }
+    }
+
     pub(super) fn expire_leases(self: &Rc<Self>) {
         let gone = self.machines.borrow_mut().registry.expire(self.now());
         for upstream in &gone {
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -49,6 +49,7 @@
     UPSTREAM_ANNOUNCED = 1301 Info "upstream announced itself or changed";
     UPSTREAM_EXPIRED = 1302 Warn "upstream did not renew its lease";
     UPSTREAM_WITHDRAWN = 1303 Info "upstream withdrew";
+    UPSTREAM_UNREACHABLE = 1304 Warn "upstream takes no connections: lease ended";
     SECTION_WRITTEN = 1401 Info "section draft written";
     VERSION_ACCEPTED = 1402 Info "document accepted";
     OPERATOR_REFUSED = 1403 Warn "operator request refused";
--- a/tally-lab/tests/upstream_answers.rs
+++ b/tally-lab/tests/upstream_answers.rs
@@ -157,3 +157,22 @@
     }
     bench.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crashed_upstream_loses_its_lease() {
+    let mut bench = Bench::start(2, &[(1, behaviour())]).await;
+    bench.fleet.vms[1].upstream.take().unwrap().stop().await;
+    let mut made = 0;
+    while !bench.fleet.wait_endpoints("booking", 0, Duration::ZERO).await {
+        made += 1;
+        let id = format!("call-{made}");
+        assert_eq!(bench.call(0, &spec(&id, "write", 1.0)).await, Outcome::NotRun);
+        assert!(made < 1000, "still an endpoint");
+    }
+    assert_eq!(bench.record.runs().len(), 0);
+    // One that comes back announces itself and gets calls again.
+    bench.start_upstream(1, behaviour()).await;
+    assert!(bench.fleet.wait_endpoints("booking", 1, common::LIMIT).await);
+    assert_eq!(bench.call(0, &spec("back", "write", 1.0)).await, Outcome::Answered);
+    bench.stop().await;
+}
