--- a/goldcresttally-admission/src/queue.rs
+++ b/goldcresttally-admission/src/queue.rs
@@ -11,7 +11,7 @@
 /// milliseconds.
 const HEADROOM_MEMORY_MS: u64 = 1000;
 
-/// Most turns that a rank can save up.
+/// Most turns that a rank can save up while it waits.
 const CREDIT_LIMIT: f64 = 2.0;
 
 /// A call that waits.
@@ -88,9 +88,11 @@
             return None;
         }
         for lane in &mut self.lanes {
-            // A rank without calls for a moment saves its turns up too, or it would get less than
-            // its floor wherever its calls are unevenly spread.
-            lane.credit = (lane.credit + lane.floor).min(CREDIT_LIMIT);
+            lane.credit = match lane.waiting.is_empty() {
+                // What a rank has saved up so far is not lost to a moment without calls.
+                true => lane.credit.min(1.0),
+                false => (lane.credit + lane.floor).min(CREDIT_LIMIT),
+            };
         }
         let lane = &mut self.lanes[at];
         lane.credit = (lane.credit - 1.0).max(0.0);
