--- a/goldcresttally-ledger/src/ledger.rs
+++ b/goldcresttally-ledger/src/ledger.rs
@@ -205,11 +205,6 @@
         Settlement::NotRun
     }
 
-    /// Tells whether an attempt has been fenced.
-    pub fn is_fenced(&self, id: AttemptId) -> bool {
-        self.entries.get(&id).is_none_or(|e| matches!(e.state, State::NotRun))
-    }
-
     /// Returns the number of attempts remembered.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/goldcresttally-membership/src/machine/merge.rs
+++ b/goldcresttally-membership/src/machine/merge.rs
@@ -74,7 +74,7 @@
         if held.is_none() && !record.status.is_member() {
             return false;
         }
-        let same_life = held.filter(|m| m.record.generation == record.generation);
+        let same_generation = held.filter(|m| m.record.generation == record.generation);
         let member = Member {
             suspicion: (record.status == Status::Suspect)
                 .then(|| Deadline::after(now, self.suspicion_timeout())),
@@ -83,8 +83,7 @@
             died: (record.status == Status::Dead).then_some(now),
             // The version floor of an address outlives the process that set it.
             version: held.map_or(Version(0), |m| m.version),
-            refused: same_life.map_or(Version(0), |m| m.refused),
-            heard: same_life.and_then(|m| m.heard),
+            refused: same_generation.map_or(Version(0), |m| m.refused),
             record: record.clone(),
         };
         self.members.insert(record.id, member);
--- a/goldcresttally-membership/src/machine/mod.rs
+++ b/goldcresttally-membership/src/machine/mod.rs
@@ -143,8 +143,6 @@
     version: Version,
     /// The newest version that it told it refused.
     refused: Version,
-    /// When the last datagram from it came.
-    heard: Option<MonoTime>,
 }
 
 /// The membership machine of one node.
@@ -234,7 +232,7 @@
             return;
         }
         self.merge_all(now, updates, actions);
-        let known = self.note_sender(now, header, actions);
+        let known = self.note_sender(header, actions);
         match body {
             Body::Ping { sequence } => {
                 let mut updates = self.take_updates();
@@ -251,12 +249,7 @@
     }
 
     /// Notes what a datagram's header says; returns the record held of its sender.
-    fn note_sender(
-        &mut self,
-        now: MonoTime,
-        header: Header,
-        actions: &mut Vec<Action>,
-    ) -> Option<Record> {
+    fn note_sender(&mut self, header: Header, actions: &mut Vec<Action>) -> Option<Record> {
         if header.version > self.version {
             actions.push(Action::VersionSeen { from: header.from, version: header.version });
         }
@@ -264,7 +257,6 @@
         if member.record.generation != header.generation {
             return Some(member.record.clone());
         }
-        member.heard = Some(now);
         member.version = member.version.max(header.version);
         member.refused = member.refused.max(header.refused);
         Some(member.record.clone())
