--- a/goldcresttally-admission/src/limit.rs
+++ b/goldcresttally-admission/src/limit.rs
@@ -33,6 +33,7 @@
 /// A limit on concurrent calls that rises by one per round of answers and falls by a factor.
 #[derive(Debug, Clone)]
 pub struct AdaptiveLimit {
+    adaptive: bool,
     ceiling: f64,
     limit: f64,
     latency_s: Option<f64>,
@@ -45,7 +46,14 @@
     /// Returns a limit that starts at `ceiling`.
     pub fn new(ceiling: u32) -> Self {
         let ceiling = f64::from(ceiling.max(1));
-        Self { ceiling, limit: ceiling, latency_s: None, baseline_s: None, rest: None }
+        Self {
+            adaptive: true,
+            ceiling,
+            limit: ceiling,
+            latency_s: None,
+            baseline_s: None,
+            rest: None,
+        }
     }
 
     /// Returns how many calls may run at once, at least 1.
@@ -53,6 +61,14 @@
         self.limit.max(1.0) as usize
     }
 
+    /// Sets whether the limit follows what is observed; otherwise it stays at its ceiling.
+    pub fn set_adaptive(&mut self, adaptive: bool) {
+        self.adaptive = adaptive;
+        if !adaptive {
+            self.limit = self.ceiling;
+        }
+    }
+
     /// Sets the most that the limit may be.
     pub fn set_ceiling(&mut self, ceiling: u32) {
         let ceiling = f64::from(ceiling.max(1));
@@ -94,7 +110,7 @@
     }
 
     fn decrease(&mut self, now: MonoTime, floor: f64) {
-        if self.rest.is_some_and(|rest| !rest.is_past(now)) {
+        if !self.adaptive || self.rest.is_some_and(|rest| !rest.is_past(now)) {
             return;
         }
         self.limit = (self.limit * DECREASE_FACTOR).max(floor.min(self.limit)).max(1.0);
--- a/goldcresttally-admission/src/machine.rs
+++ b/goldcresttally-admission/src/machine.rs
@@ -46,6 +46,9 @@
     pub policy: Policy,
     /// Most calls that run at once.
     pub concurrency: u32,
+    /// Whether the limit on concurrent calls follows observed latency and shed answers; otherwise
+    /// it stays at `concurrency`.
+    pub adaptive: bool,
     /// Most calls that wait.
     pub queue: usize,
     /// The floor share of each rank, the most urgent first.
@@ -54,7 +57,13 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self { policy: Policy::default(), concurrency: 1, queue: 64, floors: Vec::new() }
+        Self {
+            policy: Policy::default(),
+            concurrency: 1,
+            adaptive: true,
+            queue: 64,
+            floors: Vec::new(),
+        }
     }
 }
 
@@ -152,7 +161,8 @@
     pub fn new(options: Options) -> Self {
         let mut queue = RankedQueue::default();
         queue.set_floors(floors_of(&options));
-        let limit = AdaptiveLimit::new(options.concurrency);
+        let mut limit = AdaptiveLimit::new(options.concurrency);
+        limit.set_adaptive(options.adaptive);
         Self { limit, queue, running: Map::default(), draining: false, options }
     }
 
@@ -203,6 +213,7 @@
     }
 
     fn configure(&mut self, options: Options) {
+        self.limit.set_adaptive(options.adaptive);
         self.limit.set_ceiling(options.concurrency);
         self.queue.set_floors(floors_of(&options));
         self.options = options;
--- a/goldcresttally-config/src/lib.rs
+++ b/goldcresttally-config/src/lib.rs
@@ -15,11 +15,11 @@
 pub mod snapshot;
 
 pub use digest::Digest;
-pub use document::{KeyPolicy, OutagePolicy, Section};
+pub use document::{KeyPolicy, LimitsSpec, OutagePolicy, Section};
 pub use errors::{Error, Result};
 pub use manifest::{Manifest, SectionEntry};
-pub use parse::parse_section;
-pub use snapshot::{Rank, Route, Service, Snapshot};
+pub use parse::{SectionFormat, YamlFormat, parse_section};
+pub use snapshot::{Rank, Route, Service, Snapshot, Split};
 
 /// Largest section body accepted, in bytes.
 pub const SECTION_LIMIT_BYTES: usize = 256 * 1024;
--- a/goldcresttally-config/src/parse.rs
+++ b/goldcresttally-config/src/parse.rs
@@ -1,10 +1,28 @@
-//! Reads one section from YAML text.
+//! Reads one section from its text.
+
+use std::fmt::Debug;
 
 use goldcresttally_core::SectionName;
 
 use crate::document::Section;
 use crate::errors::{Error, Result};
 
+/// The format in which sections are written.
+pub trait SectionFormat: Send + Sync + Debug {
+    /// Reads the section `name` from `text`.
+    fn read(&self, name: &SectionName, text: &str) -> Result<Section>;
+}
+
+/// YAML, in which teams write sections.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct YamlFormat;
+
+impl SectionFormat for YamlFormat {
+    fn read(&self, name: &SectionName, text: &str) -> Result<Section> {
+        parse_section(name, text)
+    }
+}
+
 /// Reads the section `name` from `text`; unknown fields and oversized text are refused.
 pub fn parse_section(name: &SectionName, text: &str) -> Result<Section> {
     if text.len() > crate::SECTION_LIMIT_BYTES {
--- a/goldcresttally-config/src/snapshot/matching.rs
+++ b/goldcresttally-config/src/snapshot/matching.rs
@@ -17,12 +17,13 @@
     /// Adds `route`; returns the route that already serves the same host, method and path.
     pub fn insert(&mut self, route: Arc<Route>) -> Option<Arc<Route>> {
         let same = self.by_path.entry(Arc::clone(&route.path)).or_default();
+        // `/a` and `/a/` together would leave it open which of them a path below was meant for.
         let twin = same.iter().find(|r| r.host == route.host && r.method == route.method);
         if let Some(twin) = twin {
             return Some(Arc::clone(twin));
         }
         same.push(route);
-        same.sort_by_key(|r| (r.host.is_none(), r.method.is_none()));
+        same.sort_by_key(|r| (!r.below_only, r.host.is_none(), r.method.is_none()));
         self.count += 1;
         None
     }
@@ -36,16 +37,18 @@
     pub fn find(&self, host: &str, method: &str, path: &str) -> Option<&Arc<Route>> {
         let mut prefix = path;
         loop {
-            if let Some(route) = self.find_at(prefix, host, method) {
+            let below = path.as_bytes().get(prefix.len()) == Some(&b'/');
+            if let Some(route) = self.find_at(prefix, below, host, method) {
                 return Some(route);
             }
             prefix = parent(prefix)?;
         }
     }
 
-    fn find_at(&self, prefix: &str, host: &str, method: &str) -> Option<&Arc<Route>> {
+    fn find_at(&self, prefix: &str, below: bool, host: &str, method: &str) -> Option<&Arc<Route>> {
         self.by_path.get(prefix)?.iter().find(|r| {
-            r.host.as_deref().is_none_or(|h| h.eq_ignore_ascii_case(host))
+            (below || !r.below_only)
+                && r.host.as_deref().is_none_or(|h| h.eq_ignore_ascii_case(host))
                 && r.method.as_deref().is_none_or(|m| m == method)
         })
     }
--- a/goldcresttally-config/src/snapshot/mod.rs
+++ b/goldcresttally-config/src/snapshot/mod.rs
@@ -2,14 +2,16 @@
 
 mod build;
 mod matching;
+mod split;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use goldcresttally_core::{Map, RankName, ServiceName, Share, Version};
 
-use crate::document::{KeyPolicy, OutagePolicy};
+use crate::document::{KeyPolicy, LimitsSpec, OutagePolicy};
 use matching::RouteIndex;
+pub use split::Split;
 
 /// A service with its limits.
 #[derive(Debug, Clone, PartialEq)]
@@ -18,6 +20,10 @@
     pub name: ServiceName,
     /// Most calls that run at once at one upstream.
     pub max_concurrency: u32,
+    /// Whether the limit on concurrent calls follows observed latency and shed answers.
+    pub adaptive_limit: bool,
+    /// Most connections that one upstream takes, where that is known.
+    pub max_connections: Option<u32>,
     /// Most calls that wait at one upstream.
     pub queue: u32,
     /// Share of calls that the service means to answer well and in time.
@@ -40,16 +46,18 @@
 }
 
 /// A route with its service and rank resolved.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Route {
     /// The host that calls must name, if any.
     pub host: Option<Arc<str>>,
-    /// The prefix that the path must have.
+    /// The prefix that the path must have, without a slash at its end.
     pub path: Arc<str>,
+    /// Whether the path must go on with a slash behind the prefix.
+    pub below_only: bool,
     /// The method that calls must have, if any.
     pub method: Option<Arc<str>>,
-    /// The service that runs the call.
-    pub service: Arc<Service>,
+    /// The services that run the calls.
+    pub split: Split,
     /// The rank of the call.
     pub rank: Arc<Rank>,
     /// Whether running the call twice has the same effect as once.
@@ -62,6 +70,8 @@
     pub timeout: Duration,
     /// Most attempts after the first.
     pub retries: u8,
+    /// Time within which an answer counts as on time.
+    pub target: Duration,
 }
 
 /// One version of the configuration, closed and ready to serve.
@@ -71,9 +81,15 @@
     services: Map<ServiceName, Arc<Service>>,
     ranks: Vec<Arc<Rank>>,
     routes: RouteIndex,
+    limits: LimitsSpec,
 }
 
 impl Snapshot {
+    /// Returns the limits on requests of callers.
+    pub fn limits(&self) -> LimitsSpec {
+        self.limits
+    }
+
     /// Returns the version that the snapshot was built from.
     pub fn version(&self) -> Version {
         self.version
--- a/goldcresttally-core/src/ids.rs
+++ b/goldcresttally-core/src/ids.rs
@@ -91,6 +91,12 @@
     "team name"
 );
 
+name_type!(
+    /// Names one process of an upstream, where upstreams tell processes at one address apart.
+    InstanceId,
+    "instance id"
+);
+
 fn is_name(text: &str) -> bool {
     let valid = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-');
     !text.is_empty() && text.len() <= NAME_LIMIT_BYTES && text.bytes().all(valid)
--- a/goldcresttally-core/src/lib.rs
+++ b/goldcresttally-core/src/lib.rs
@@ -21,8 +21,8 @@
 pub use collections::{Map, Set};
 pub use errors::{Error, Result};
 pub use ids::{
-    AttemptId, DomainId, Generation, Incarnation, NodeId, OperationId, RankName, RegionId,
-    SectionName, ServiceName, TeamName, Version,
+    AttemptId, DomainId, Generation, Incarnation, InstanceId, NodeId, OperationId, RankName,
+    RegionId, SectionName, ServiceName, TeamName, Version,
 };
 pub use time::{Deadline, MonoTime};
 pub use units::{ByteSize, Rate, Share};
--- a/goldcresttally-distribution/src/machine/mod.rs
+++ b/goldcresttally-distribution/src/machine/mod.rs
@@ -135,6 +135,8 @@
     installing: Option<(Arc<Bundle>, Arc<VersionUpdate>, Source)>,
     fetching: Fetching,
     next_poll: Deadline,
+    /// Whether a poll that waits for news is under way.
+    watching: bool,
     gossip_rounds: u32,
     next_gossip: Deadline,
     last_update: Option<Arc<VersionUpdate>>,
@@ -155,6 +157,7 @@
             installing: None,
             fetching: Fetching::default(),
             next_poll: Deadline(now),
+            watching: false,
             gossip_rounds: 0,
             next_gossip: Deadline(now),
             last_update: None,
@@ -174,12 +177,16 @@
             Event::HeadRead { version, manifest } => {
                 self.learn_floor(version);
                 self.fetching.want_from_platform(version, manifest);
+                self.watch_again(now, actions);
             }
             Event::Accepted(update) => {
                 self.learn_floor(update.version);
                 self.on_update(now, Source::Platform, update, actions);
             }
-            Event::PollFailed => self.back_off_poll(now),
+            Event::PollFailed => {
+                self.watching = false;
+                self.back_off_poll(now);
+            }
             Event::FloorLearned(version) => self.learn_floor(version),
             Event::PeerVersion { from, version } => self.on_peer_version(now, from, version),
             Event::Pushed { from, update } => {
@@ -241,7 +248,9 @@
     }
 
     fn announce_ready(&mut self, actions: &mut Vec<Action>) {
-        let met = self.floor.is_some_and(|floor| self.version() >= floor);
+        // Before anything was accepted, there is nothing to serve.
+        let known = self.version() > Version(0);
+        let met = known && self.floor.is_some_and(|floor| self.version() >= floor);
         if met && !self.ready {
             self.ready = true;
             actions.push(Action::Ready(self.version()));
--- a/goldcresttally-distribution/src/machine/options.rs
+++ b/goldcresttally-distribution/src/machine/options.rs
@@ -32,6 +32,8 @@
     pub mode: Mode,
     /// Shortest interval at which a poller reads the table.
     pub poll_interval: Duration,
+    /// Whether a poll waits for news, so that it is made again at once.
+    pub feed: bool,
     /// Members of a domain that poll.
     pub pollers: usize,
     /// Members to which one passes a version on.
@@ -57,6 +59,7 @@
         Self {
             mode: Mode::default(),
             poll_interval: Duration::from_secs(1),
+            feed: false,
             pollers: 2,
             fanout: 4,
             links: 1,
--- a/goldcresttally-distribution/src/machine/poll.rs
+++ b/goldcresttally-distribution/src/machine/poll.rs
@@ -17,7 +17,7 @@
     }
 
     pub(super) fn poll_if_due(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
-        if !self.next_poll.is_past(now) {
+        if !self.next_poll.is_past(now) || self.watching {
             return;
         }
         let wait = self.poll_interval().mul_f64(0.9 + 0.2 * self.rng.f64());
@@ -25,12 +25,26 @@
         let polls =
             self.options.mode == Mode::Poll || self.topology.position() < self.options.pollers;
         if polls {
+            self.watching = self.options.feed;
             actions.push(Action::Poll);
         }
     }
 
+    /// Asks a feed for what comes after what it has just told.
+    pub(super) fn watch_again(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        if self.watching {
+            self.watching = false;
+            self.next_poll = Deadline(now);
+            self.poll_if_due(now, actions);
+        }
+    }
+
     pub(super) fn back_off_poll(&mut self, now: MonoTime) {
-        let longest = Duration::from_secs(OUTAGE_POLL_LIMIT_S).max(self.poll_interval());
+        let longest = match self.options.feed {
+            // A feed that broke is missed by callers; the next one may hold.
+            true => self.poll_interval(),
+            false => Duration::from_secs(OUTAGE_POLL_LIMIT_S).max(self.poll_interval()),
+        };
         let wait = longest.mul_f64(0.5 + 0.5 * self.rng.f64());
         self.next_poll = Deadline::after(now, wait);
     }
--- a/goldcresttally-distribution/src/machine/push.rs
+++ b/goldcresttally-distribution/src/machine/push.rs
@@ -93,6 +93,10 @@
             targets.extend(self.topology.remote_links(self.options.links));
         }
         targets.retain(|id| Some(*id) != from);
+        if self.options.feed {
+            // Who watches the feed itself has the version by the time a push could bring it.
+            targets.retain(|id| !self.topology.is_among_first(*id, self.options.pollers));
+        }
         push_to(&targets, update, actions);
     }
 
--- a/goldcresttally-distribution/src/topology.rs
+++ b/goldcresttally-distribution/src/topology.rs
@@ -82,6 +82,12 @@
         self.domain_of.get(&id) == own
     }
 
+    /// Tells whether `id` is among the first `count` members of its domain.
+    pub fn is_among_first(&self, id: NodeId, count: usize) -> bool {
+        let members = self.domain_of.get(&id).and_then(|domain| self.domains.get(domain));
+        members.is_some_and(|members| members.iter().take(count).any(|m| *m == id))
+    }
+
     /// Returns all other members, ordered.
     pub fn others(&self) -> Vec<NodeId> {
         let own = self.own.as_ref().map(|own| own.id);
--- a/goldcresttally-membership/src/lib.rs
+++ b/goldcresttally-membership/src/lib.rs
@@ -19,4 +19,4 @@
 pub use message::{Body, Header, Message};
 pub use pacer::Pacer;
 pub use record::{Record, Status, Upstream, UpstreamState};
-pub use registry::{Announcement, Registry};
+pub use registry::{Announced, Announcement, Registry, UpstreamProcess};
--- a/goldcresttally-membership/src/registry.rs
+++ b/goldcresttally-membership/src/registry.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use goldcresttally_core::{Deadline, Map, MonoTime, ServiceName};
+use goldcresttally_core::{Deadline, Generation, InstanceId, Map, MonoTime, ServiceName};
 
 use crate::record::{Upstream, UpstreamState};
 
-/// Duration of a lease that is not renewed, in milliseconds.
+/// Duration of a lease that is not renewed, in milliseconds, unless the settings say otherwise.
 pub const LEASE_MS: u64 = 3000;
 
 /// What an upstream says of itself, at first and with every renewal.
@@ -21,6 +21,37 @@
     pub slots: u32,
     /// Its state.
     pub state: UpstreamState,
+    /// Which process at the address it is, where upstreams tell.
+    pub process: Option<UpstreamProcess>,
+}
+
+/// Orders what the processes that run in turn at one address say of themselves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamProcess {
+    /// Its name, which a later process may bear again.
+    pub instance: InstanceId,
+    /// Grows from one process at the address to the next; 0 when it is not told.
+    pub generation: Generation,
+    /// Grows with each announcement of the process.
+    pub sequence: u64,
+}
+
+impl UpstreamProcess {
+    /// Tells whether `other` is the same process.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.instance == other.instance && self.generation == other.generation
+    }
+}
+
+/// What became of an announcement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Announced {
+    /// The set of upstreams, or what is known of one, changed.
+    Changed,
+    /// The lease was renewed.
+    Renewed,
+    /// It was overtaken: a later announcement, a later process or the end of the process is known.
+    Stale,
 }
 
 #[derive(Debug)]
@@ -29,31 +60,80 @@
     deadline: Deadline,
 }
 
+/// The latest process known at an address.
+#[derive(Debug)]
+struct Latest {
+    process: UpstreamProcess,
+    withdrawn: bool,
+}
+
 /// The upstreams beside this node.
 ///
 /// A draining upstream cannot become ready again under the same lease: an announcement that
-/// was delayed on its way must not undo the drain.
-#[derive(Debug, Default)]
+/// was delayed on its way must not undo the drain. Where upstreams tell their processes apart,
+/// a delayed announcement cannot undo a withdrawal or displace a later process either.
+#[derive(Debug)]
 pub struct Registry {
+    lease: Duration,
     leases: Map<(ServiceName, SocketAddr), Lease>,
+    latest: Map<SocketAddr, Latest>,
+}
+
+impl Default for Registry {
+    fn default() -> Self {
+        Self::new(Duration::from_millis(LEASE_MS))
+    }
 }
 
 impl Registry {
-    /// Takes or renews a lease; returns whether the set of upstreams changed.
-    pub fn announce(&mut self, now: MonoTime, announcement: Announcement) -> bool {
+    /// Returns a registry whose leases last for `lease`.
+    pub fn new(lease: Duration) -> Self {
+        Self { lease, leases: Map::default(), latest: Map::default() }
+    }
+
+    /// Takes or renews a lease.
+    pub fn announce(&mut self, now: MonoTime, announcement: Announcement) -> Announced {
+        if let Some(process) = &announcement.process {
+            match self.order(announcement.address, process) {
+                Order::Stale => return Announced::Stale,
+                Order::Same => {}
+                // What was said of an earlier process says nothing of this one.
+                Order::Later => self.leases.retain(|(_, at), _| *at != announcement.address),
+            }
+            let latest = Latest { process: process.clone(), withdrawn: false };
+            self.latest.insert(announcement.address, latest);
+        }
+        self.renew(now, announcement)
+    }
+
+    fn renew(&mut self, now: MonoTime, announcement: Announcement) -> Announced {
         let key = (announcement.service.clone(), announcement.address);
-        let deadline = Deadline::after(now, Duration::from_millis(LEASE_MS));
+        let deadline = Deadline::after(now, self.lease);
         let Some(lease) = self.leases.get_mut(&key) else {
             self.leases.insert(key, Lease { announcement, deadline });
-            return true;
+            return Announced::Changed;
         };
         lease.deadline = deadline;
-        if lease.announcement.state == UpstreamState::Draining || lease.announcement == announcement
-        {
-            return false;
+        let held = &lease.announcement;
+        let same = held.slots == announcement.slots && held.state == announcement.state;
+        if held.state == UpstreamState::Draining || same {
+            return Announced::Renewed;
         }
         lease.announcement = announcement;
-        true
+        Announced::Changed
+    }
+
+    /// Orders an announcement of `process` after what is known at the address.
+    fn order(&self, address: SocketAddr, process: &UpstreamProcess) -> Order {
+        let Some(latest) = self.latest.get(&address) else { return Order::Later };
+        if !latest.process.is_same(process) {
+            let earlier = process.generation < latest.process.generation;
+            return if earlier { Order::Stale } else { Order::Later };
+        }
+        match !latest.withdrawn && process.sequence > latest.process.sequence {
+            true => Order::Same,
+            false => Order::Stale,
+        }
     }
 
     /// Ends a lease at the upstream's wish; returns whether there was one.
@@ -61,6 +141,27 @@
         self.leases.remove(&(service.clone(), address)).is_some()
     }
 
+    /// Ends the lease of the process `instance`; returns the upstream that is gone.
+    ///
+    /// `generation` is that of the process, where it is told: the end of an earlier process of
+    /// that name says nothing of a later one.
+    pub fn withdraw_process(
+        &mut self,
+        instance: &InstanceId,
+        generation: Option<Generation>,
+    ) -> Option<Announcement> {
+        let ends = |p: &UpstreamProcess| {
+            p.instance == *instance && generation.is_none_or(|g| g >= p.generation)
+        };
+        for latest in self.latest.values_mut().filter(|l| ends(&l.process)) {
+            latest.withdrawn = true;
+        }
+        let held = |lease: &&Lease| lease.announcement.process.as_ref().is_some_and(ends);
+        let gone = self.leases.values().find(held)?.announcement.clone();
+        self.leases.remove(&(gone.service.clone(), gone.address));
+        Some(gone)
+    }
+
     /// Ends the leases that lapsed; returns the upstreams that are gone.
     pub fn expire(&mut self, now: MonoTime) -> Vec<Announcement> {
         let mut gone = Vec::new();
@@ -89,3 +190,10 @@
         self.current(now).into_iter().map(upstream).collect()
     }
 }
+
+/// How an announcement stands to what is known at its address.
+enum Order {
+    Stale,
+    Same,
+    Later,
+}
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -127,9 +127,10 @@
         let map = req.headers_mut();
         map.remove(http::header::HOST);
         headers::set(map, headers::OP, "call");
-        headers::set(map, headers::SERVICE, &self.route.service.name);
+        headers::set(map, headers::SERVICE, &self.service.name);
         headers::set(map, headers::RANK, &self.route.rank.name);
-        let on_time_by = Deadline::after(self.started, self.route.rank.target);
+        headers::set(map, headers::TARGET_MS, &self.route.target.as_millis());
+        let on_time_by = Deadline::after(self.started, self.route.target);
         let on_time = on_time_by.remaining(self.entry.state.clock.now()).as_millis();
         headers::set_unique(map, headers::ON_TIME_MS, &on_time);
         if keyed {
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -3,15 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use goldcresttally_config::{KeyPolicy, Route};
+use goldcresttally_config::{KeyPolicy, Route, Service};
 use goldcresttally_core::{AttemptId, Deadline, MonoTime};
-use goldcresttally_routing::{Endpoint, Failure, Tries, TryLimits};
+use goldcresttally_routing::{Endpoint, Failure, Throttle, Tries, TryLimits};
 use http::header::EXPECT;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
+use http_body_util::{LengthLimitError, Limited};
+use hyper::body::Body;
 
 use super::Entry;
-use crate::body::{CallBody, Replay};
+use crate::body::{CallBody, Replay, boxed};
 use crate::errors::{CallError, Reason};
 use crate::headers;
 use crate::state::{EntryLimits, Serving};
@@ -19,10 +21,16 @@
 /// Longest random wait before another attempt, in milliseconds.
 const RETRY_JITTER_MS: u64 = 10;
 
+/// Further attempts after refusals which no upstream has seen; each costs a round trip between
+/// nodes.
+const UNSEEN_TRIES: u8 = 2;
+
 /// A call that has a route.
 pub(super) struct Call {
     pub entry: Arc<Entry>,
     pub route: Arc<Route>,
+    /// The service that runs the call, one of the route's.
+    pub service: Arc<Service>,
     /// The configuration that the call began with and keeps.
     serving: Arc<Serving>,
     pub parts: Parts,
@@ -50,6 +58,9 @@
             return Err(CallError::not_run(Reason::NotReady));
         }
         let (mut parts, body) = req.into_parts();
+        if parts.headers.get_all(http::header::HOST).iter().count() > 1 {
+            return Err(CallError::not_run(Reason::BadRequest));
+        }
         let serving = entry.state.serving();
         let host = host_of(&parts);
         let name = host.rsplit_once(':').map_or(host.as_str(), |(name, _)| name);
@@ -58,27 +69,42 @@
             return Err(CallError::not_run(Reason::NoRoute));
         };
         let route = Arc::clone(route);
-        let asked = headers::time_left(&parts.headers).unwrap_or(route.timeout);
+        let conventions = &entry.state.conventions;
+        let asked = headers::time_left(&parts.headers, &conventions.deadline_ms);
+        let asked = asked.unwrap_or(route.timeout);
         let deadline = Deadline::after(started, asked.min(route.timeout));
         let key = parts.headers.get(headers::IDEMPOTENCY_KEY).cloned();
         headers::strip_internal(&mut parts.headers);
         headers::strip_hop_by_hop(&mut parts.headers);
         parts.headers.remove(EXPECT);
+        conventions.set_on_entry(&mut parts.headers);
         let key = match (route.key, key) {
             (KeyPolicy::None, _) | (KeyPolicy::Optional, None) => None,
             (KeyPolicy::Required, None) => return Err(CallError::not_run(Reason::KeyMissing)),
             (KeyPolicy::Optional | KeyPolicy::Required, key) => key,
         };
+        let service = Arc::clone(route.split.next(entry.split_offset));
         let entry = Arc::clone(entry);
-        Ok((Self { entry, route, serving, parts, host, key, started, deadline }, body))
+        let call = Self { entry, route, service, serving, parts, host, key, started, deadline };
+        Ok((call, body))
     }
 
     /// Runs the call to its end.
     pub async fn run(&self, body: CallBody) -> Result<Response<CallBody>, CallError> {
         self.check_limits()?;
+        let limit = self.serving.snapshot.limits().max_body_bytes;
+        let announced = body.size_hint().lower();
+        if announced > limit {
+            return Err(CallError::not_run(Reason::TooLarge));
+        }
+        let body = boxed(Limited::new(body, limit as usize));
         let read = tokio::time::timeout_at(self.timer(), Replay::read(body)).await;
-        let Ok(Ok(body)) = read else {
-            return Err(CallError::not_run(Reason::BadRequest));
+        let body = match read {
+            Ok(Ok(body)) => body,
+            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+                return Err(CallError::not_run(Reason::TooLarge));
+            }
+            Ok(Err(_)) | Err(_) => return Err(CallError::not_run(Reason::BadRequest)),
         };
         match &self.key {
             Some(key) => self.run_keyed(key, &body).await,
@@ -110,7 +136,7 @@
     /// Picks the endpoint of the next attempt.
     pub fn next_attempt(&self, tries: &mut Tries) -> Result<Attempt, CallError> {
         let endpoints = self.entry.state.endpoints();
-        let all = endpoints.get(&self.route.service.name);
+        let all = endpoints.get(&self.service.name);
         let all = all.ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?;
         let now = self.entry.state.clock.now();
         let random = |n| fastrand::usize(..n);
@@ -137,6 +163,7 @@
     ) -> Result<(), CallError> {
         let failure = Failure {
             verdict: error.verdict,
+            seen: error.is_seen(),
             can_pass: !matches!(error.reason, Reason::BadRequest | Reason::NoEndpoint),
             can_resend: body.can_send(),
             redirect: error.redirect,
@@ -144,9 +171,11 @@
         let limits = TryLimits {
             idempotent: self.route.idempotent,
             retries: self.route.retries,
+            unseen: UNSEEN_TRIES,
             deadline: self.deadline,
         };
-        let budget = self.limits().map(|l| &l.retries);
+        let options = self.entry.state.retry_options();
+        let budget = self.limits().map(|l| (&*l.retries, &options));
         let budget = budget.filter(|_| self.entry.options.retry_budget);
         if !tries.on_failure(self.entry.state.clock.now(), failure, limits, budget) {
             return Err(error.clone());
@@ -159,8 +188,10 @@
 
     fn check_limits(&self) -> Result<(), CallError> {
         let Some(limits) = self.limits() else { return Ok(()) };
-        limits.retries.on_call();
-        let admits = limits.throttle.admit(self.entry.state.clock.now(), fastrand::f64());
+        let now = self.entry.state.clock.now();
+        limits.retries.on_call(now, &self.entry.state.retry_options());
+        let Some(throttle) = self.throttle() else { return Ok(()) };
+        let admits = throttle.admit(now, fastrand::f64());
         if admits || !self.entry.options.throttle {
             return Ok(());
         }
@@ -168,10 +199,14 @@
         Err(CallError::not_run(Reason::Overloaded))
     }
 
-    /// Returns the limits of this call's service and rank.
+    /// Returns the limits of this call's service.
     pub fn limits(&self) -> Option<&EntryLimits> {
-        let list = self.serving.limits.get(&self.route.service.name)?;
-        list.get(self.route.rank.index)
+        self.serving.limits.get(&self.service.name)
+    }
+
+    /// Returns the throttle of this call's service and rank.
+    pub fn throttle(&self) -> Option<&Throttle> {
+        self.limits()?.throttles.get(self.route.rank.index).map(|t| &**t)
     }
 
     /// Returns the instant of the call's deadline.
--- a/goldcresttally-proxy/src/entry/keyed.rs
+++ b/goldcresttally-proxy/src/entry/keyed.rs
@@ -214,7 +214,7 @@
     }
 
     fn claim_row(&self, key: &HeaderValue) -> String {
-        format!("claim/{}/{}", self.route.service.name, Digest::of(key.as_bytes()))
+        format!("claim/{}/{}", self.service.name, Digest::of(key.as_bytes()))
     }
 }
 
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -7,22 +7,32 @@
 mod settle;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use goldcresttally_core::Verdict;
 use goldcresttally_report::Recorder;
 use goldcresttally_routing::{Ejection, Picker};
-use http::{Request, Response};
+use http::header::{CONNECTION, RETRY_AFTER};
+use http::{Request, Response, StatusCode};
 use tokio_util::task::TaskTracker;
 
 use crate::body::CallBody;
 use crate::claims::ClaimStore;
-use crate::errors::CallError;
+use crate::errors::{CallError, Reason};
+use crate::headers;
 use crate::link::Links;
 use crate::peer::Peer;
 use crate::service::Handler;
 use crate::state::State;
 use call::Call;
 
+/// Usual time until a configuration or an upstream is found, in milliseconds: about one interval
+/// of announcements.
+const ABSENT_RETRY_MS: u64 = 1000;
+
+/// Usual time until an upstream has room again, in milliseconds: the order of a service time.
+const BUSY_RETRY_MS: u64 = 300;
+
 /// Choices of the entry that an experiment may change.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -52,6 +62,8 @@
     picker: Picker,
     ejection: Ejection,
     options: Options,
+    /// Keeps the entries of a fleet from sharing out calls in step.
+    split_offset: u32,
 }
 
 impl Entry {
@@ -74,6 +86,7 @@
             picker: Picker::default(),
             ejection: Ejection::default(),
             options,
+            split_offset: fastrand::u32(..),
         }
     }
 
@@ -103,24 +116,49 @@
             Verdict::MayHaveRun => counters.may_have_run.add(),
             Verdict::Ran => counters.ran_unanswered.add(),
         }
-        error.into_response()
+        let status = error.status();
+        let after = error.retry_after.unwrap_or_else(|| usual_retry_after(error.reason));
+        let mut response = error.into_response();
+        response.headers_mut().remove(headers::RETRY_AFTER_MS);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            let text = self.state.conventions.retry_after(after);
+            headers::set(response.headers_mut(), RETRY_AFTER, &text);
+        }
+        response
     }
 
     fn record(
         &self,
         call: &Call,
         result: &Result<Response<CallBody>, CallError>,
-        latency: std::time::Duration,
+        latency: Duration,
     ) {
         let answered = result.as_ref().is_ok_and(|r| !r.status().is_server_error());
         let rank = &call.route.rank;
-        let good = answered && latency <= rank.target;
-        self.recorder.record(&call.route.service.name, &rank.name, latency, good);
+        let good = answered && latency <= call.route.target;
+        self.recorder.record(&call.service.name, &rank.name, latency, good);
     }
 }
 
 impl Handler for Entry {
     async fn handle(self: Arc<Self>, req: Request<CallBody>) -> Response<CallBody> {
-        self.answer(req).await
+        let state = Arc::clone(&self.state);
+        let http1 = req.version() < http::Version::HTTP_2;
+        let mut response = self.answer(req).await;
+        // The caller's next call goes to a node that stays.
+        if state.is_leaving() && http1 {
+            headers::set(response.headers_mut(), CONNECTION, "close");
+        }
+        response
     }
 }
+
+/// Returns when a call that was refused may come again, with spread so that not all return at
+/// once.
+fn usual_retry_after(reason: Reason) -> Duration {
+    let usual = match reason {
+        Reason::NotReady | Reason::NoEndpoint => ABSENT_RETRY_MS,
+        _ => BUSY_RETRY_MS,
+    };
+    Duration::from_millis(usual / 2 + fastrand::u64(0..=usual))
+}
--- a/goldcresttally-proxy/src/entry/observe.rs
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -86,18 +86,18 @@
         match result {
             Ok(_) => {
                 observed.answered(now.since(self.started));
-                if let Some(limits) = self.limits() {
-                    limits.throttle.accepted();
+                if let Some(throttle) = self.throttle() {
+                    throttle.accepted();
                 }
             }
             Err(error) if is_overload(error) => {
-                if let Some(limits) = self.limits() {
-                    limits.throttle.refused();
+                if let Some(throttle) = self.throttle() {
+                    throttle.refused();
                 }
             }
             Err(error) if is_endpoint_failure(error) => {
                 let endpoints = self.entry.state.endpoints();
-                let all = endpoints.get(&self.route.service.name);
+                let all = endpoints.get(&self.service.name);
                 let all = all.map_or(&[][..], |all| all);
                 if self.entry.ejection.on_failure(now, &attempt.endpoint, all) {
                     self.entry.state.counters.ejections.add();
--- a/goldcresttally-proxy/src/errors.rs
+++ b/goldcresttally-proxy/src/errors.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::Duration;
 
 use goldcresttally_core::errors::invalid;
 use goldcresttally_core::{NodeId, Verdict};
@@ -65,6 +66,10 @@
     Shed = "shed" => SERVICE_UNAVAILABLE,
     /// The attempt was asked about before it could run.
     Fenced = "fenced" => SERVICE_UNAVAILABLE,
+    /// The upstream's process is not the one that the attempt was meant for.
+    StaleInstance = "stale-instance" => SERVICE_UNAVAILABLE,
+    /// The request's body is larger than the limit.
+    TooLarge = "too-large" => PAYLOAD_TOO_LARGE,
     /// The attempt was meant for an earlier process at the address.
     StaleGeneration = "stale-generation" => SERVICE_UNAVAILABLE,
     /// The ledger has no room to remember the attempt.
@@ -96,34 +101,65 @@
     pub reason: Reason,
     /// A less loaded node that may run it instead.
     pub redirect: Option<NodeId>,
+    /// Time after which the call may be served.
+    pub retry_after: Option<Duration>,
 }
 
 impl CallError {
+    fn new(verdict: Verdict, reason: Reason) -> Self {
+        Self { verdict, reason, redirect: None, retry_after: None }
+    }
+
+    /// Returns the status for the caller.
+    ///
+    /// 503 and the like promise that the call did not run, and 502 and 504 promise nothing: a
+    /// deadline that was seen to be out of reach before anything ran is a refusal.
+    pub fn status(&self) -> StatusCode {
+        let status = self.reason.status();
+        match (self.verdict, self.reason) {
+            (Verdict::NotRun, Reason::Deadline | Reason::Unreachable | Reason::ConnectionLost) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            (Verdict::NotRun, _) => status,
+            (_, _) if promises_not_run(status) => StatusCode::BAD_GATEWAY,
+            _ => status,
+        }
+    }
+
+    /// Tells whether an upstream has seen the call.
+    pub fn is_seen(&self) -> bool {
+        let rejected = matches!(self.reason, Reason::Shed | Reason::StaleInstance);
+        rejected || self.verdict != Verdict::NotRun
+    }
+
     /// Returns the failure of a call that did not run.
     pub fn not_run(reason: Reason) -> Self {
-        Self { verdict: Verdict::NotRun, reason, redirect: None }
+        Self::new(Verdict::NotRun, reason)
     }
 
     /// Returns the failure of a call that may have run.
     pub fn may_have_run(reason: Reason) -> Self {
-        Self { verdict: Verdict::MayHaveRun, reason, redirect: None }
+        Self::new(Verdict::MayHaveRun, reason)
     }
 
     /// Returns the failure of a call that ran.
     pub fn ran(reason: Reason) -> Self {
-        Self { verdict: Verdict::Ran, reason, redirect: None }
+        Self::new(Verdict::Ran, reason)
     }
 
     /// Writes the answer that says so.
     pub fn into_response(self) -> Response<CallBody> {
         let text = format!("{} ({})\n", self.reason, self.verdict);
         let mut response = Response::new(full(text));
-        *response.status_mut() = self.reason.status();
+        *response.status_mut() = self.status();
         headers::set(response.headers_mut(), headers::VERDICT, &self.verdict);
         headers::set(response.headers_mut(), headers::REASON, &self.reason);
         if let Some(node) = self.redirect {
             headers::set(response.headers_mut(), headers::REDIRECT, &node);
         }
+        if let Some(after) = self.retry_after {
+            headers::set(response.headers_mut(), headers::RETRY_AFTER_MS, &after.as_millis());
+        }
         response
     }
 
@@ -132,6 +168,13 @@
         let verdict = headers::parse(headers, &headers::VERDICT)?;
         let reason = headers::parse(headers, &headers::REASON).unwrap_or(Reason::ConnectionLost);
         let redirect = headers::parse(headers, &headers::REDIRECT);
-        Some(Self { verdict, reason, redirect })
+        let retry_after = headers::parse(headers, &headers::RETRY_AFTER_MS);
+        let retry_after = retry_after.map(Duration::from_millis);
+        Some(Self { verdict, reason, redirect, retry_after })
     }
 }
+
+/// Tells whether a status promises that the call did not run and will not.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
--- a/goldcresttally-proxy/src/headers.rs
+++ b/goldcresttally-proxy/src/headers.rs
@@ -18,6 +18,8 @@
 pub const RANK: HeaderName = HeaderName::from_static("tally-rank");
 /// Time left until the deadline, in milliseconds.
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("tally-deadline-ms");
+/// Time within which an answer of the route is on time, in milliseconds.
+pub const TARGET_MS: HeaderName = HeaderName::from_static("tally-target-ms");
 /// Time left until an answer is late, in milliseconds.
 pub const ON_TIME_MS: HeaderName = HeaderName::from_static("tally-on-time-ms");
 /// Set on attempts of calls with an idempotency key, which are remembered for longer.
@@ -30,6 +32,8 @@
 pub const LOAD: HeaderName = HeaderName::from_static("tally-load");
 /// A less loaded node that may run the attempt instead.
 pub const REDIRECT: HeaderName = HeaderName::from_static("tally-redirect");
+/// Time after which a call that was refused may be served, in milliseconds.
+pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("tally-retry-after-ms");
 /// What became of an attempt: `not-run`, `running`, `done` or `unknown`.
 pub const SETTLEMENT: HeaderName = HeaderName::from_static("tally-settlement");
 /// Set on a settlement that carries the attempt's whole answer.
@@ -92,9 +96,13 @@
     }
 }
 
+/// Longest time that a header may say is left, in milliseconds.
+const TIME_LEFT_LIMIT_MS: u64 = 3_600_000;
+
 /// Reads the time left until the deadline.
-pub fn time_left(headers: &HeaderMap) -> Option<Duration> {
-    parse::<u64>(headers, &DEADLINE_MS).map(|ms| Duration::from_millis(ms.min(3_600_000)))
+pub fn time_left(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
+    let ms = parse::<u64>(headers, name)?;
+    Some(Duration::from_millis(ms.min(TIME_LEFT_LIMIT_MS)))
 }
 
 /// Tells whether the message says how its body ends, so that a cut can be told from the end.
--- a/goldcresttally-proxy/src/lib.rs
+++ b/goldcresttally-proxy/src/lib.rs
@@ -9,11 +9,13 @@
 //! * [`server`]: accepts connections and finishes what is in flight when it stops.
 //! * [`workers`]: threads that serve calls, each with a runtime of its own.
 //! * [`service`]: serves handlers as tower services.
+//! * [`conventions`]: what callers and upstreams agree on with this system.
 //! * [`headers`], [`body`], [`clock`], [`counters`], [`errors`]: shared parts.
 
 pub mod body;
 pub mod claims;
 pub mod clock;
+pub mod conventions;
 pub mod counters;
 pub mod entry;
 pub mod errors;
@@ -28,6 +30,7 @@
 
 pub use body::CallBody;
 pub use clock::Clock;
+pub use conventions::Conventions;
 pub use entry::Entry;
 pub use errors::{CallError, Reason};
 pub use peer::Peer;
--- a/goldcresttally-proxy/src/peer/gate.rs
+++ b/goldcresttally-proxy/src/peer/gate.rs
@@ -7,7 +7,7 @@
 use goldcresttally_admission::{
     Action, Admission, CallId, Event, Load, Options, Outcome, Policy, Refusal,
 };
-use goldcresttally_core::Map;
+use goldcresttally_core::{InstanceId, Map};
 use tokio::sync::oneshot;
 
 use super::LocalUpstream;
@@ -34,6 +34,7 @@
 pub struct Gate {
     inner: Mutex<Inner>,
     pool: UpstreamPool,
+    instance: Option<InstanceId>,
     /// Calls in a row that could not be sent because no connection stood.
     unreachable: AtomicU32,
 }
@@ -69,16 +70,30 @@
 }
 
 impl Gate {
-    /// Returns the gate of the upstream at `address`.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Returns the gate of an upstream.
+    pub fn new(upstream: &LocalUpstream) -> Self {
         let inner = Inner {
             admission: Admission::new(Options::default()),
             waiting: Map::default(),
             next: 0,
             actions: Vec::new(),
         };
-        let pool = UpstreamPool::new(address);
-        Self { inner: Mutex::new(inner), pool, unreachable: AtomicU32::new(0) }
+        Self {
+            inner: Mutex::new(inner),
+            pool: UpstreamPool::new(upstream.address),
+            instance: upstream.instance.clone(),
+            unreachable: AtomicU32::new(0),
+        }
+    }
+
+    /// Tells whether the gate is that of this process of an upstream.
+    pub fn is_for(&self, upstream: &LocalUpstream) -> bool {
+        self.address() == upstream.address && self.instance == upstream.instance
+    }
+
+    /// Returns the process of the upstream, where upstreams tell.
+    pub fn instance(&self) -> Option<&InstanceId> {
+        self.instance.as_ref()
     }
 
     /// Returns the upstream's address.
@@ -127,6 +142,7 @@
         let options = Options {
             policy,
             concurrency: service.map_or(upstream.slots, |s| s.max_concurrency.min(upstream.slots)),
+            adaptive: service.is_none_or(|s| s.adaptive_limit),
             queue: service.map_or(0, |s| s.queue as usize),
             floors,
         };
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -14,7 +14,7 @@
 
 use arc_swap::ArcSwap;
 use goldcresttally_admission::{Load, Policy};
-use goldcresttally_core::{Map, ServiceName};
+use goldcresttally_core::{InstanceId, Map, ServiceName};
 use http::{Request, Response};
 use tokio_util::task::TaskTracker;
 
@@ -40,6 +40,8 @@
     pub slots: u32,
     /// Whether it takes nothing new.
     pub draining: bool,
+    /// Which process it is, where upstreams tell.
+    pub instance: Option<InstanceId>,
 }
 
 /// The gates of each service.
@@ -84,8 +86,8 @@
         let mut gates = Gates::default();
         for upstream in upstreams {
             let list = held.get(&upstream.service);
-            let known = list.and_then(|l| l.iter().find(|g| g.address() == upstream.address));
-            let gate = known.map_or_else(|| Arc::new(Gate::new(upstream.address)), Arc::clone);
+            let known = list.and_then(|l| l.iter().find(|g| g.is_for(upstream)));
+            let gate = known.map_or_else(|| Arc::new(Gate::new(upstream)), Arc::clone);
             gate.configure(&self.state, upstream, self.policy);
             gates.entry(upstream.service.clone()).or_default().push(gate);
         }
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -16,14 +16,12 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
-use super::exchange::{
-    answer_headers, is_overload, is_shed, is_small, is_well_framed, upstream_request,
-};
+use super::exchange::{AnswerKind, Sent, answer_headers, is_large, is_overload, upstream_request};
 use super::gate::{Gate, Place};
 use super::ticket::Ticket;
 use super::upstream::{Connection, UpstreamError};
 use super::{Peer, Replay};
-use crate::body::{BoxError, CallBody, boxed, full};
+use crate::body::{BoxError, CallBody, boxed, full, read_up_to_limit};
 use crate::errors::{CallError, Reason};
 use crate::headers;
 
@@ -64,81 +62,114 @@
             return self.refuse(error);
         }
         peer.state.counters.dispatched.add();
-        self.exchange(&gate, &mut place, parts, body).await;
+        let kept = self.exchange(&gate, &mut place, parts, body).await;
+        // The slot is free once the answer is in; whether the connection is fit shows later.
+        drop(place);
+        if let Some(connection) = kept {
+            gate.pool().give_back(connection).await;
+        }
     }
 
+    /// Sends the call to the upstream and passes its answer on; returns a connection whose answer
+    /// was read to its end.
     async fn exchange(
         &mut self,
         gate: &Gate,
         place: &mut Place<'_>,
         parts: Parts,
         body: Replay<CallBody>,
-    ) {
+    ) -> Option<Connection> {
         let peer = Arc::clone(&self.peer);
-        let method = parts.method.clone();
-        let req = upstream_request(parts, body.body(), self.ticket.deadline, &peer);
+        let rules = &peer.state.conventions;
+        let asked = Sent::of(&parts, rules);
+        let deadline = self.ticket.deadline;
+        let req = upstream_request(parts, body.body(), deadline, &peer, gate.instance());
         let limit = peer.state.clock.instant(self.ticket.deadline);
         let sent = tokio::select! {
             sent = gate.pool().send(&*peer.transport, &peer.tasks, req) => sent,
-            () = tokio::time::sleep_until(limit) => return self.abandon(Reason::Deadline),
+            () = tokio::time::sleep_until(limit) => {
+                self.abandon(Reason::Deadline);
+                return None;
+            }
             () = self.cancelled.cancelled() => {
                 peer.state.counters.cancelled.add();
-                return self.abandon(Reason::Deadline);
+                self.abandon(Reason::Deadline);
+                return None;
             }
         };
         gate.note_sent(!matches!(sent, Err(UpstreamError::NotSent)));
         match sent {
             Err(UpstreamError::NotSent) => self.refuse(CallError::not_run(Reason::Unreachable)),
             Err(UpstreamError::Lost) => self.abandon(Reason::ConnectionLost),
-            Ok((response, _)) if is_shed(&response) => {
-                place.set_outcome(Outcome::Shed);
-                self.refuse(CallError::not_run(Reason::Shed));
-            }
-            Ok((response, _)) if !is_well_framed(&method, &response) => self.bad_answer(),
-            Ok((response, connection)) => {
-                self.pass_on(gate, place, &method, response, connection).await;
-            }
+            Ok((response, connection)) => match asked.classify(&response, rules) {
+                AnswerKind::Shed => {
+                    place.set_outcome(Outcome::Shed);
+                    self.refuse(CallError::not_run(Reason::Shed));
+                }
+                AnswerKind::OtherInstance => {
+                    self.refuse(CallError::not_run(Reason::StaleInstance));
+                }
+                // The call's own answer may follow, but the connection is not to be trusted.
+                AnswerKind::Crossed => self.abandon(Reason::ConnectionLost),
+                AnswerKind::Spoiled => self.bad_answer(),
+                AnswerKind::Answer => {
+                    return self.pass_on(place, asked.method(), response, connection).await;
+                }
+            },
         }
+        None
     }
 
     async fn pass_on(
         &mut self,
-        gate: &Gate,
         place: &mut Place<'_>,
         method: &Method,
         response: Response<Incoming>,
         connection: Connection,
-    ) {
+    ) -> Option<Connection> {
         let (mut parts, body) = response.into_parts();
         let overloaded = is_overload(parts.status);
+        let bodiless = method == Method::HEAD;
+        let large = !bodiless && is_large(&parts.headers);
         answer_headers(&mut parts.headers, &self.peer, &self.ticket);
-        let whole = if is_small(&parts.headers) || method == Method::HEAD {
-            self.answer_whole(Response::from_parts(parts, body)).await
-        } else {
-            self.answer_in_chunks(Response::from_parts(parts, body)).await
+        let response = Response::from_parts(parts, body);
+        let whole = match large {
+            true => self.answer_in_chunks(response, Bytes::new()).await,
+            false => self.answer_whole(response).await,
         };
-        if whole {
-            place.set_outcome(if overloaded { Outcome::Shed } else { Outcome::Answered });
-            gate.pool().give_back(connection).await;
+        if !whole {
+            return None;
         }
+        place.set_outcome(if overloaded { Outcome::Shed } else { Outcome::Answered });
+        Some(connection)
     }
 
-    /// Reads a small answer to its end before it is passed on, and keeps it.
+    /// Reads a small answer to its end before it is passed on, and keeps it; one that turns out to
+    /// be large is passed on in chunks.
     async fn answer_whole(&mut self, response: Response<Incoming>) -> bool {
         let (parts, body) = response.into_parts();
         let limit = self.peer.state.clock.instant(self.ticket.deadline);
         let read = tokio::select! {
-            read = tokio::time::timeout_at(limit, body.collect()) => read,
+            read = tokio::time::timeout_at(limit, read_up_to_limit(body)) => read,
             () = self.cancelled.cancelled() => {
                 self.abandon(Reason::Deadline);
                 return false;
             }
         };
-        let Ok(Ok(body)) = read else {
-            self.bad_answer();
-            return false;
+        let body = match read {
+            Ok(Ok((body, None))) => body,
+            Ok(Ok((start, Some(rest)))) => {
+                return self.answer_in_chunks(Response::from_parts(parts, rest), start).await;
+            }
+            Ok(Err(_)) => {
+                self.bad_answer();
+                return false;
+            }
+            Err(_) => {
+                self.abandon(Reason::Deadline);
+                return false;
+            }
         };
-        let body = body.to_bytes();
         let headers = parts.headers.clone();
         let answer = Answer { status: parts.status, headers, body: body.clone() };
         self.peer.attempts.done(self.ticket.attempt, Some(answer));
@@ -147,9 +178,11 @@
     }
 
     /// Passes a large answer on in chunks; a cut is passed on as a cut.
-    async fn answer_in_chunks(&mut self, response: Response<Incoming>) -> bool {
+    async fn answer_in_chunks(&mut self, response: Response<Incoming>, start: Bytes) -> bool {
         let (parts, mut body) = response.into_parts();
         let (tx, rx) = mpsc::channel::<Result<Bytes, BoxError>>(CHUNKS_IN_FLIGHT);
+        // The channel is empty: there is room.
+        let _ = tx.try_send(Ok(start));
         let chunks = tokio_stream(rx).map(|chunk| chunk.map(Frame::data));
         self.send(Response::from_parts(parts, boxed(StreamBody::new(chunks))));
         let idle = Duration::from_secs(STREAM_IDLE_LIMIT_S);
--- a/goldcresttally-proxy/src/peer/settle.rs
+++ b/goldcresttally-proxy/src/peer/settle.rs
@@ -25,7 +25,7 @@
             return settlement_response(Settlement::Unknown);
         }
         let now = self.state.clock.now();
-        let wait = headers::time_left(map).unwrap_or(Duration::ZERO);
+        let wait = headers::time_left(map, &headers::DEADLINE_MS).unwrap_or(Duration::ZERO);
         let deadline = Deadline::after(now, wait);
         let limit = Deadline::after(now, Duration::from_millis(SETTLE_WAIT_LIMIT_MS)).min(deadline);
         let until = self.state.clock.instant(limit);
--- a/goldcresttally-proxy/src/peer/ticket.rs
+++ b/goldcresttally-proxy/src/peer/ticket.rs
@@ -20,7 +20,7 @@
     pub deadline: Deadline,
     /// Until when the answer is on time.
     pub on_time_by: Deadline,
-    /// Time within which answers of the rank are on time.
+    /// Time within which answers of the route are on time.
     pub target: Duration,
     pub keyed: bool,
 }
@@ -35,7 +35,7 @@
         let Some(service) = headers::parse::<ServiceName>(headers, &headers::SERVICE) else {
             return refuse(Reason::BadRequest);
         };
-        let Some(left) = headers::time_left(headers) else {
+        let Some(left) = headers::time_left(headers, &headers::DEADLINE_MS) else {
             return refuse(Reason::BadRequest);
         };
         let generation = headers::parse::<Generation>(headers, &headers::GENERATION);
@@ -49,6 +49,7 @@
         let serving = state.serving();
         let ranks = serving.snapshot.ranks();
         let known = ranks.iter().position(|r| Some(&r.name) == name.as_ref());
+        let target = headers::parse(headers, &headers::TARGET_MS).map(Duration::from_millis);
         let on_time = headers::parse(headers, &headers::ON_TIME_MS).map(Duration::from_millis);
         Ok(Self {
             attempt,
@@ -57,7 +58,7 @@
             rank: known.unwrap_or(ranks.len()),
             deadline: Deadline::after(state.clock.now(), left),
             on_time_by: Deadline::after(state.clock.now(), on_time.unwrap_or(left)),
-            target: known.map_or(left, |i| ranks[i].target),
+            target: target.or_else(|| known.map(|i| ranks[i].target)).unwrap_or(left),
             keyed: headers.contains_key(headers::KEYED),
         })
     }
--- a/goldcresttally-proxy/src/peer/upstream.rs
+++ b/goldcresttally-proxy/src/peer/upstream.rs
@@ -21,6 +21,10 @@
 /// Time within which a connection must stand, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1000;
 
+/// Time within which a connection must be ready for its next call, in milliseconds: the upstream
+/// may still have to read the rest of a request that it has answered.
+const READY_TIMEOUT_MS: u64 = 1000;
+
 /// Workers that have idle connections of their own; further ones share with the first.
 const WORKER_LIMIT: usize = 16;
 
@@ -97,9 +101,10 @@
 
     /// Keeps a connection whose answer was read to its end.
     pub async fn give_back(&self, mut connection: Connection) {
-        if connection.sender.ready().await.is_err() {
+        let limit = Duration::from_millis(READY_TIMEOUT_MS);
+        let Ok(Ok(())) = tokio::time::timeout(limit, connection.sender.ready()).await else {
             return;
-        }
+        };
         connection.idle_since = Instant::now();
         let mut idle = self.own_idle();
         if idle.len() < IDLE_CONNECTIONS {
--- a/goldcresttally-proxy/src/server.rs
+++ b/goldcresttally-proxy/src/server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
+use goldcresttally_config::LimitsSpec;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -17,11 +18,8 @@
 
 use crate::body::{CallBody, boxed};
 
-/// Time within which the head of a request must have come, in seconds.
-const HEAD_TIMEOUT_S: u64 = 15;
-
-/// Largest head of a request, in bytes.
-const HEAD_LIMIT_BYTES: usize = 64 * 1024;
+/// Smallest buffer for the head of a request, in bytes; the least that the HTTP library takes.
+const HEAD_BUFFER_LEAST_BYTES: usize = 8192;
 
 /// Calls in flight at once on one HTTP/2 connection.
 const STREAM_LIMIT: u32 = 4096;
@@ -40,10 +38,12 @@
 
 /// Serves HTTP/1.1 and HTTP/2 on `listener` until `stop`, then finishes what is in flight.
 ///
-/// Each connection is served by the next of `workers`: a runtime and the service to use on it.
+/// Each connection is served by the next of `workers`: a runtime and the service to use on it. It
+/// keeps the limits that `limits` returns as it begins.
 pub async fn serve<S>(
     listener: TcpListener,
     workers: Vec<(Handle, S)>,
+    limits: impl Fn() -> LimitsSpec + Send,
     stop: CancellationToken,
     tasks: TaskTracker,
 ) where
@@ -65,7 +65,9 @@
         };
         let Ok(stream) = stream.into_std() else { continue };
         let (handle, service) = &workers[turn % workers.len()];
-        let connection = serve_connection(stream, Adapter(service.clone()), graceful.watcher());
+        let builder = builder(limits());
+        let service = Adapter(service.clone());
+        let connection = serve_connection(stream, builder, service, graceful.watcher());
         tasks.spawn_on(connection, handle);
     }
     drop(listener);
@@ -90,8 +92,12 @@
 }
 
 /// Serves one connection on the runtime that polls this.
-async fn serve_connection<S>(stream: std::net::TcpStream, service: Adapter<S>, watcher: Watcher)
-where
+async fn serve_connection<S>(
+    stream: std::net::TcpStream,
+    builder: auto::Builder<TokioExecutor>,
+    service: Adapter<S>,
+    watcher: Watcher,
+) where
     S: Service<Request<CallBody>, Response = Response<CallBody>, Error = Infallible>
         + Clone
         + Send
@@ -102,18 +108,22 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let connection = builder().serve_connection(TokioIo::new(stream), service).into_owned();
+    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
     // How a connection ended is of no interest to others.
     let _ = watcher.watch(connection).await;
 }
 
-fn builder() -> auto::Builder<TokioExecutor> {
+fn builder(limits: LimitsSpec) -> auto::Builder<TokioExecutor> {
+    // The library counts the wait for a head from the end of the call before it, so a connection
+    // may stay idle for no longer than a head may take.
+    let head_ms = limits.header_timeout_ms.max(limits.idle_timeout_ms);
+    let head_bytes = (limits.max_header_bytes as usize).max(HEAD_BUFFER_LEAST_BYTES);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_secs(HEAD_TIMEOUT_S))
-        .max_buf_size(HEAD_LIMIT_BYTES);
+        .header_read_timeout(Duration::from_millis(head_ms.into()))
+        .max_buf_size(head_bytes);
     builder
         .http2()
         .timer(TokioTimer::new())
@@ -121,6 +131,6 @@
         .max_concurrent_streams(STREAM_LIMIT)
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-        .max_header_list_size(HEAD_LIMIT_BYTES as u32);
+        .max_header_list_size(head_bytes as u32);
     builder
 }
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -2,14 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use arc_swap::ArcSwap;
 use goldcresttally_config::Snapshot;
 use goldcresttally_core::{AttemptId, Generation, Map, NodeId, ServiceName};
-use goldcresttally_routing::{Endpoint, RetryBudget, Throttle};
+use goldcresttally_routing::{BudgetOptions, Endpoint, RetryBudget, Throttle};
 
 use crate::clock::Clock;
+use crate::conventions::Conventions;
 use crate::counters::Counters;
 
 /// Who this node is.
@@ -26,13 +27,29 @@
 /// The endpoints of each service.
 pub type EndpointTable = Map<ServiceName, Arc<[Endpoint]>>;
 
-/// Limits of one service and rank at the entry; a flood of one rank leaves the others theirs.
+/// Limits of one service at the entry.
 #[derive(Debug, Default)]
 pub struct EntryLimits {
-    /// Refuses early what the upstreams would refuse.
-    pub throttle: Throttle,
+    /// Refuses early what the upstreams would refuse; one by rank, so that a flood of one rank
+    /// leaves the others theirs.
+    pub throttles: Vec<Arc<Throttle>>,
     /// Bounds retries.
-    pub retries: RetryBudget,
+    pub retries: Arc<RetryBudget>,
+}
+
+/// Retries that all nodes together may make to one service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryAllowance {
+    /// What all nodes together may spend.
+    pub total: BudgetOptions,
+    /// Share of it that is spent; the rest is left for the runs that a repeated run causes.
+    pub spend: f64,
+}
+
+impl Default for RetryAllowance {
+    fn default() -> Self {
+        Self { total: BudgetOptions::default(), spend: 1.0 }
+    }
 }
 
 /// The snapshot in force, with the limits of each service and rank at the entry.
@@ -40,16 +57,23 @@
 pub struct Serving {
     /// The configuration.
     pub snapshot: Snapshot,
-    /// The limits of each service and rank.
-    pub limits: Map<ServiceName, Vec<EntryLimits>>,
+    /// The limits of each service.
+    pub limits: Map<ServiceName, EntryLimits>,
 }
 
 impl Serving {
-    /// Prepares a snapshot for serving.
-    pub fn new(snapshot: Snapshot) -> Self {
+    /// Prepares a snapshot for serving; counts go on from the one before it.
+    pub fn new(snapshot: Snapshot, before: &Self) -> Self {
         let ranks = snapshot.ranks().len();
-        let by_rank = || (0..ranks).map(|_| EntryLimits::default()).collect();
-        let limits = snapshot.services().map(|s| (s.name.clone(), by_rank())).collect();
+        let limits = |name: &ServiceName| {
+            let held = before.limits.get(name);
+            let throttle = |i: usize| held.and_then(|h| h.throttles.get(i).map(Arc::clone));
+            EntryLimits {
+                throttles: (0..ranks).map(|i| throttle(i).unwrap_or_default()).collect(),
+                retries: held.map(|h| Arc::clone(&h.retries)).unwrap_or_default(),
+            }
+        };
+        let limits = snapshot.services().map(|s| (s.name.clone(), limits(&s.name))).collect();
         Self { snapshot, limits }
     }
 }
@@ -63,6 +87,11 @@
     pub clock: Clock,
     /// Counts what happens.
     pub counters: Counters,
+    /// What callers and upstreams agree on.
+    pub conventions: Conventions,
+    allowance: ArcSwap<RetryAllowance>,
+    /// The most members seen at once, this node included.
+    members: AtomicUsize,
     serving: ArcSwap<Serving>,
     endpoints: ArcSwap<EndpointTable>,
     ready: AtomicBool,
@@ -73,10 +102,13 @@
 
 impl State {
     /// Returns the state of a node that serves nothing yet.
-    pub fn new(identity: Identity, clock: Clock) -> Self {
+    pub fn new(identity: Identity, clock: Clock, conventions: Conventions) -> Self {
         Self {
             identity,
             clock,
+            conventions,
+            allowance: ArcSwap::default(),
+            members: AtomicUsize::new(1),
             counters: Counters::default(),
             serving: ArcSwap::default(),
             endpoints: ArcSwap::default(),
@@ -99,10 +131,35 @@
         if version <= self.serving.load().snapshot.version() {
             return false;
         }
-        self.serving.store(Arc::new(Serving::new(snapshot)));
+        let serving = Serving::new(snapshot, &self.serving.load());
+        self.serving.store(Arc::new(serving));
         true
     }
 
+    /// Sets what all nodes together may spend on retries.
+    pub fn set_allowance(&self, allowance: RetryAllowance) {
+        self.allowance.store(Arc::new(allowance));
+    }
+
+    /// Returns this node's part of what may be spent on retries.
+    ///
+    /// Calls are counted where they enter, so the share of them needs no division; the reserve is
+    /// divided by the most members ever seen, as those out of sight may still spend theirs.
+    pub fn retry_options(&self) -> BudgetOptions {
+        let allowance = self.allowance.load();
+        let members = self.members.load(Ordering::Relaxed).max(1) as f64;
+        BudgetOptions {
+            share: allowance.total.share * allowance.spend,
+            reserve: allowance.total.reserve * allowance.spend / members,
+            window: allowance.total.window,
+        }
+    }
+
+    /// Notes how many members are seen, this node included.
+    pub fn note_members(&self, count: usize) {
+        self.members.fetch_max(count, Ordering::Relaxed);
+    }
+
     /// Returns the endpoints of all services.
     pub fn endpoints(&self) -> Arc<EndpointTable> {
         self.endpoints.load_full()
--- a/goldcresttally-proxy/src/transport.rs
+++ b/goldcresttally-proxy/src/transport.rs
@@ -3,12 +3,25 @@
 use std::fmt::Debug;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
 
+use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpSocket;
 
 use crate::BoxFuture;
 
+/// Time without traffic after which the kernel probes a connection, and between probes, in
+/// seconds; the shortest that it takes.
+const KEEPALIVE_INTERVAL_S: u64 = 1;
+
+/// Unanswered probes after which the kernel closes a connection.
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// Time for which sent bytes may stay unacknowledged, in milliseconds: many times the round trip
+/// within a region, and below the shortest deadlines of callers.
+const UNACKED_LIMIT_MS: u64 = 1500;
+
 /// A connection that carries bytes both ways.
 pub trait Connection: AsyncRead + AsyncWrite + Send + Unpin {}
 
@@ -43,10 +56,23 @@
         }
         let stream = socket.connect(to).await?;
         stream.set_nodelay(true)?;
+        watch_for_silence(&stream)?;
         Ok(stream)
     }
 }
 
+/// Has the kernel close a connection whose other end has gone silent.
+pub fn watch_for_silence(stream: &tokio::net::TcpStream) -> io::Result<()> {
+    let interval = Duration::from_secs(KEEPALIVE_INTERVAL_S);
+    let keepalive = TcpKeepalive::new()
+        .with_time(interval)
+        .with_interval(interval)
+        .with_retries(KEEPALIVE_PROBES);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKED_LIMIT_MS)))
+}
+
 impl Transport for TcpTransport {
     fn connect(&self, to: SocketAddr) -> BoxFuture<'static, io::Result<Box<dyn Connection>>> {
         let transport = *self;
--- a/goldcresttally-routing/src/budget.rs
+++ b/goldcresttally-routing/src/budget.rs
@@ -1,47 +1,115 @@
 //! Bounds retries to a share of the calls, so that they cannot multiply an overload.
 
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
-/// Tokens that one retry costs, in thousandths.
-const RETRY_COST_MILLI: i64 = 1000;
+use goldcresttally_core::MonoTime;
 
-/// Retries that may be saved up.
-const RESERVE: i64 = 20;
+/// Buckets into which the window is divided; the oldest one is counted whole.
+const BUCKETS: usize = 20;
 
-/// A token bucket that calls fill and retries empty; shared by the threads that serve calls.
-#[derive(Debug)]
+/// Bits of a packed bucket that count calls, and those that count retries.
+const COUNT_BITS: u32 = 20;
+
+const COUNT_MASK: u64 = (1 << COUNT_BITS) - 1;
+
+/// What retries are bounded to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetOptions {
+    /// Retries allowed per call.
+    pub share: f64,
+    /// Retries allowed in any window besides.
+    pub reserve: f64,
+    /// The span that is looked at.
+    pub window: Duration,
+}
+
+impl Default for BudgetOptions {
+    fn default() -> Self {
+        Self { share: 0.2, reserve: 20.0, window: Duration::from_secs(10) }
+    }
+}
+
+/// Counts calls and retries over a sliding window; shared by the threads that serve calls.
+///
+/// Each bucket packs the period that it counts, so that an old one is told from the current one
+/// without a lock.
+#[derive(Debug, Default)]
 pub struct RetryBudget {
-    tokens_milli: AtomicI64,
-    per_call_milli: i64,
+    buckets: [AtomicU64; BUCKETS + 1],
 }
 
-impl RetryBudget {
-    /// Returns a full budget that allows `share` retries per call.
-    pub fn new(share: f64) -> Self {
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    period: u64,
+    calls: u64,
+    retries: u64,
+}
+
+impl Bucket {
+    fn unpack(packed: u64) -> Self {
         Self {
-            tokens_milli: AtomicI64::new(RESERVE * RETRY_COST_MILLI),
-            per_call_milli: (share * 1000.0) as i64,
+            period: packed >> (2 * COUNT_BITS),
+            calls: (packed >> COUNT_BITS) & COUNT_MASK,
+            retries: packed & COUNT_MASK,
         }
     }
 
+    fn pack(self) -> u64 {
+        let calls = self.calls.min(COUNT_MASK) << COUNT_BITS;
+        self.period << (2 * COUNT_BITS) | calls | self.retries.min(COUNT_MASK)
+    }
+}
+
+impl RetryBudget {
     /// Notes a call.
-    pub fn on_call(&self) {
-        let limit = RESERVE * RETRY_COST_MILLI;
-        let tokens = self.tokens_milli.load(Ordering::Relaxed);
-        if tokens < limit {
-            self.tokens_milli.fetch_add(self.per_call_milli, Ordering::Relaxed);
+    pub fn on_call(&self, now: MonoTime, options: &BudgetOptions) {
+        self.add(period_of(now, options), 1, 0);
+    }
+
+    /// Takes one retry; returns whether the budget allows it.
+    pub fn take(&self, now: MonoTime, options: &BudgetOptions) -> bool {
+        let period = period_of(now, options);
+        let (calls, retries) = self.counts(period);
+        let allowed = options.share * calls as f64 + options.reserve;
+        if retries as f64 + 1.0 > allowed {
+            return false;
         }
+        self.add(period, 0, 1);
+        true
     }
 
-    /// Takes the cost of one retry; returns whether the budget allows it.
-    pub fn take(&self) -> bool {
-        let enough = |tokens: i64| (tokens >= RETRY_COST_MILLI).then(|| tokens - RETRY_COST_MILLI);
-        self.tokens_milli.fetch_update(Ordering::Relaxed, Ordering::Relaxed, enough).is_ok()
+    /// Sums up the window; of the oldest bucket, only the retries may still lie within it.
+    fn counts(&self, period: u64) -> (u64, u64) {
+        let mut sums = (0, 0);
+        for bucket in &self.buckets {
+            let bucket = Bucket::unpack(bucket.load(Ordering::Relaxed));
+            let age = period.saturating_sub(bucket.period) as usize;
+            if age < BUCKETS {
+                sums.0 += bucket.calls;
+            }
+            if age <= BUCKETS {
+                sums.1 += bucket.retries;
+            }
+        }
+        sums
     }
-}
 
-impl Default for RetryBudget {
-    fn default() -> Self {
-        Self::new(0.2)
+    fn add(&self, period: u64, calls: u64, retries: u64) {
+        let slot = &self.buckets[period as usize % (BUCKETS + 1)];
+        let change = |packed: u64| {
+            let held = Bucket::unpack(packed);
+            let (c, r) = if held.period == period { (held.calls, held.retries) } else { (0, 0) };
+            Some(Bucket { period, calls: c + calls, retries: r + retries }.pack())
+        };
+        // The update always has a value to store.
+        let _ = slot.fetch_update(Ordering::Relaxed, Ordering::Relaxed, change);
     }
 }
+
+/// Returns the number of the bucket's period that `now` lies in, from 1 on.
+fn period_of(now: MonoTime, options: &BudgetOptions) -> u64 {
+    let length = (options.window.as_micros() as u64 / BUCKETS as u64).max(1);
+    let period = now.0 / length + 1;
+    period & ((1 << (64 - 2 * COUNT_BITS)) - 1)
+}
--- a/goldcresttally-routing/src/lib.rs
+++ b/goldcresttally-routing/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod throttle;
 pub mod tries;
 
-pub use budget::RetryBudget;
+pub use budget::{BudgetOptions, RetryBudget};
 pub use ejection::Ejection;
 pub use endpoint::{Endpoint, Locality, Observed};
 pub use picker::Picker;
--- a/goldcresttally-routing/src/tries.rs
+++ b/goldcresttally-routing/src/tries.rs
@@ -2,7 +2,7 @@
 
 use goldcresttally_core::{Deadline, MonoTime, NodeId, Verdict};
 
-use crate::budget::RetryBudget;
+use crate::budget::{BudgetOptions, RetryBudget};
 
 /// Most redirect hints that one call follows (RFC 5685, section 7: `MAX_REDIRECTS`).
 const REDIRECT_LIMIT: usize = 2;
@@ -14,6 +14,8 @@
     pub idempotent: bool,
     /// Most attempts after the first.
     pub retries: u8,
+    /// Further attempts that may follow refusals which no upstream has seen.
+    pub unseen: u8,
     /// When an answer is of no use any more.
     pub deadline: Deadline,
 }
@@ -23,6 +25,8 @@
 pub struct Failure {
     /// Whether the attempt may have run.
     pub verdict: Verdict,
+    /// Whether an upstream has seen the attempt, whatever it made of it.
+    pub seen: bool,
     /// Whether another attempt could end otherwise.
     pub can_pass: bool,
     /// Whether the request can be sent from its start once more.
@@ -35,6 +39,8 @@
 #[derive(Debug, Default)]
 pub struct Tries {
     tried: Vec<NodeId>,
+    /// Attempts that an upstream has seen.
+    seen: usize,
     redirects: usize,
     hint: Option<NodeId>,
     verdict: Verdict,
@@ -69,15 +75,19 @@
         now: MonoTime,
         failure: Failure,
         limits: TryLimits,
-        budget: Option<&RetryBudget>,
+        budget: Option<(&RetryBudget, &BudgetOptions)>,
     ) -> bool {
         self.verdict = self.verdict.max(failure.verdict);
+        self.seen += usize::from(failure.seen);
         let safe = failure.verdict.may_retry(limits.idempotent) && failure.can_resend;
-        let left = self.tried.len() <= usize::from(limits.retries);
+        let unseen = self.tried.len().saturating_sub(self.seen).min(limits.unseen.into());
+        let left = self.tried.len() - unseen <= usize::from(limits.retries);
         if !safe || !failure.can_pass || !left || limits.deadline.is_past(now) {
             return false;
         }
-        if budget.is_some_and(|b| !b.take()) {
+        // The first attempt that an upstream sees is no retry to it.
+        let repeats = self.seen > 0;
+        if repeats && budget.is_some_and(|(b, options)| !b.take(now, options)) {
             return false;
         }
         self.note_hint(failure.redirect);
--- a/goldcresttally-standin/src/platform/table.rs
+++ b/goldcresttally-standin/src/platform/table.rs
@@ -8,8 +8,8 @@
 use axum::http::StatusCode;
 use axum::http::header::ETAG;
 use axum::response::{IntoResponse, Response};
-use goldcresttally_platform::table::Change;
-use goldcresttally_platform::{Expected, Row, Transaction, Write};
+use goldcresttally_store::table::Change;
+use goldcresttally_store::{Expected, Row, Transaction, Write};
 use serde::Deserialize;
 use serde_json::json;
 
--- a/goldcresttally-platform/tests/common/mod.rs
+++ b/goldcresttally-store/tests/common/mod.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use goldcresttally_core::OperationId;
-use goldcresttally_platform::table::Change;
-use goldcresttally_platform::{
+use goldcresttally_store::table::Change;
+use goldcresttally_store::{
     BoxFuture, Document, Error, Expected, ObjectStore, Result, Row, TableStore, Transaction,
 };
 
--- a/goldcresttally-platform/tests/lost_answers.rs
+++ b/goldcresttally-store/tests/lost_answers.rs
@@ -6,7 +6,7 @@
 
 use common::{Fate, Memory, operation};
 use goldcresttally_core::{TeamName, Version};
-use goldcresttally_platform::Error;
+use goldcresttally_store::Error;
 
 const BODY: &str = "services:\n  a: {}\n";
 
--- a/goldcresttally/src/lib.rs
+++ b/goldcresttally/src/lib.rs
@@ -35,9 +35,9 @@
 pub use goldcresttally_ledger as ledger;
 #[cfg(feature = "membership")]
 pub use goldcresttally_membership as membership;
-#[cfg(feature = "platform")]
-pub use goldcresttally_platform as platform;
 #[cfg(feature = "report")]
 pub use goldcresttally_report as report;
 #[cfg(feature = "routing")]
 pub use goldcresttally_routing as routing;
+#[cfg(feature = "store")]
+pub use goldcresttally_store as store;
--- a/goldcresttallyd/src/control/claims.rs
+++ b/goldcresttallyd/src/control/claims.rs
@@ -5,9 +5,9 @@
 
 use goldcresttally_core::{NodeId, OperationId, rendezvous};
 use goldcresttally_ledger::{ClaimWrite as PendingClaim, WriteOutcome};
-use goldcresttally_platform::{Error, Expected, HttpPlatform, TableStore, Transaction, Write};
 use goldcresttally_proxy::BoxFuture;
 use goldcresttally_proxy::claims::{ClaimRow, ClaimStore, ClaimWrite};
+use goldcresttally_store::{Error, Expected, TableStore, Transaction, Write};
 use tokio::sync::{mpsc, oneshot};
 
 use super::command::Command;
@@ -21,12 +21,12 @@
 #[derive(Debug)]
 pub struct KeeperClient {
     commands: mpsc::Sender<Command>,
-    table: HttpPlatform,
+    table: Arc<dyn TableStore>,
 }
 
 impl KeeperClient {
     /// Returns a client that sends its writes to the control thread behind `commands`.
-    pub fn new(commands: mpsc::Sender<Command>, table: HttpPlatform) -> Self {
+    pub fn new(commands: mpsc::Sender<Command>, table: Arc<dyn TableStore>) -> Self {
         Self { commands, table }
     }
 }
@@ -122,8 +122,7 @@
         });
         let operation = OperationId(fastrand::u128(..));
         let transaction = Transaction { operation, writes: writes.collect() };
-        let table: Arc<HttpPlatform> = Arc::clone(&self.table);
-        let outcome = match table.transact(&transaction).await {
+        let outcome = match self.table.transact(&transaction).await {
             Ok(revision) => WriteOutcome::Written(revision),
             Err(Error::Conflict { keys }) => WriteOutcome::Conflict(keys),
             Err(e) => {
--- a/goldcresttallyd/src/control/command.rs
+++ b/goldcresttallyd/src/control/command.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use goldcresttally_core::{DomainId, Generation, NodeId, ServiceName, Version};
+use goldcresttally_core::{DomainId, Generation, InstanceId, NodeId, ServiceName, Version};
 use goldcresttally_distribution::VersionUpdate;
 use goldcresttally_ledger::ClaimWrite;
-use goldcresttally_membership::{Announcement, Record};
+use goldcresttally_membership::{Announced, Announcement, Record};
 use goldcresttally_proxy::claims;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -14,7 +14,9 @@
 #[derive(Debug)]
 pub enum Command {
     /// An upstream announced itself or renewed its lease.
-    Announce(Announcement, oneshot::Sender<()>),
+    Announce(Announcement, oneshot::Sender<Announced>),
+    /// A process of an upstream ended its lease; its generation is told where it is known.
+    WithdrawProcess(InstanceId, Option<Generation>, oneshot::Sender<bool>),
     /// An upstream ended its lease.
     Withdraw(ServiceName, std::net::SocketAddr, oneshot::Sender<bool>),
     /// This node accepted a version on behalf of an operator.
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -5,14 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use goldcresttally_core::{Deadline, MonoTime};
+use goldcresttally_config::SectionFormat;
+use goldcresttally_core::{Deadline, MonoTime, NodeId};
 use goldcresttally_distribution::{self as distribution, Distribution};
 use goldcresttally_ledger::Batcher;
 use goldcresttally_membership::{self as members, Membership, Pacer, Registry};
-use goldcresttally_platform::{Document, HttpPlatform};
 use goldcresttally_proxy::claims::ClaimWrite;
 use goldcresttally_proxy::link::Links;
 use goldcresttally_proxy::{Peer, Transport};
+use goldcresttally_store::{Directory, DocumentSource, TableStore};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::LocalSet;
@@ -53,8 +54,12 @@
     pub peer: Arc<Peer>,
     pub links: Vec<Arc<Links>>,
     pub transport: Arc<dyn Transport>,
-    pub document: Document,
-    pub table: Arc<HttpPlatform>,
+    pub source: Arc<dyn DocumentSource>,
+    pub format: Arc<dyn SectionFormat>,
+    pub table: Arc<dyn TableStore>,
+    pub directory: Option<Arc<dyn Directory>>,
+    /// Nodes that the directory has named.
+    pub listed: RefCell<Vec<NodeId>>,
     pub socket: UdpSocket,
     pub connections: Connections,
     pub tasks: TaskTracker,
@@ -70,26 +75,35 @@
     pub refusal: RefCell<Option<Arc<str>>>,
 }
 
+/// The control listeners, bound.
+pub(super) struct Listeners {
+    pub tcp: std::net::TcpListener,
+    pub udp: std::net::UdpSocket,
+}
+
 /// Runs the control thread to its end.
-pub(super) fn run_thread(
-    config: Config,
-    listener: std::net::TcpListener,
-    socket: std::net::UdpSocket,
-    commands: mpsc::Receiver<Command>,
-) {
+pub(super) fn run_thread(config: Config, listeners: Listeners, commands: mpsc::Receiver<Command>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(e) => return emit(events::NODE_STOPPED, format_args!("no runtime: {e}")),
     };
-    let local = LocalSet::new();
-    let result = local.block_on(&runtime, async move {
-        let control = Rc::new(Control::new(config, socket)?);
-        control.run(TcpListener::from_std(listener)?, commands).await;
+    LocalSet::new().block_on(&runtime, run_task(config, listeners, commands));
+}
+
+/// Runs the control machines on the local tasks of the current thread.
+pub(super) async fn run_task(
+    config: Config,
+    listeners: Listeners,
+    commands: mpsc::Receiver<Command>,
+) {
+    let run = async move {
+        let control = Rc::new(Control::new(config, listeners.udp)?);
+        control.run(TcpListener::from_std(listeners.tcp)?, commands).await;
         std::io::Result::Ok(())
-    });
-    if let Err(e) = result {
-        emit(events::NODE_STOPPED, format_args!("control thread failed: {e}"));
+    };
+    if let Err(e) = run.await {
+        emit(events::NODE_STOPPED, format_args!("control machines failed: {e}"));
     }
 }
 
@@ -100,7 +114,11 @@
         let id = config.own.id;
         let own = distribution::Peer { id, domain: config.own.domain.clone() };
         let rate = goldcresttally_core::Rate(settings.requests.claim_writes_per_second);
-        let options = settings.distribution_options();
+        let options = distribution::Options {
+            feed: config.source.has_feed(),
+            ..settings.distribution_options()
+        };
+        let lease = Duration::from_millis(settings.membership.lease_ms);
         let machines = Machines {
             membership: Membership::new(
                 settings.membership_options(),
@@ -109,21 +127,23 @@
                 now,
             ),
             distribution: Distribution::new(options, own, config.seed + 1, now),
-            registry: Registry::default(),
+            registry: Registry::new(lease),
             pacer: Pacer::new(config.seed + 2, now),
             batcher: Batcher::new(rate),
         };
-        let table = Arc::new(HttpPlatform::new(config.platform, Some(id.0.ip())));
         let traffic = Rc::new(Cell::new(Traffic::default()));
         Ok(Self {
             machines: RefCell::new(machines),
-            document: Document::new(Arc::clone(&table) as _, Arc::clone(&table) as _),
+            source: config.source,
+            format: config.format,
+            directory: config.directory,
+            listed: RefCell::default(),
             connections: Connections::new(Arc::clone(&config.transport), Rc::clone(&traffic)),
             socket: UdpSocket::from_std(socket)?,
             peer: config.peer,
             links: config.links,
             transport: config.transport,
-            table,
+            table: config.table,
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
             traffic,
@@ -140,6 +160,7 @@
     async fn run(self: &Rc<Self>, listener: TcpListener, mut commands: mpsc::Receiver<Command>) {
         let accept = server::accept(Rc::clone(self), listener);
         self.tasks.spawn_local(accept);
+        self.tasks.spawn_local(Rc::clone(self).enlist());
         let mut tick = tokio::time::interval(Duration::from_millis(TICK_MS));
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut buf = vec![0; DATAGRAM_BUFFER_BYTES];
@@ -192,8 +213,10 @@
     fn on_command(self: &Rc<Self>, command: Command) {
         match command {
             Command::Announce(announcement, reply) => {
-                self.on_announce(announcement);
-                let _ = reply.send(());
+                let _ = reply.send(self.on_announce(announcement));
+            }
+            Command::WithdrawProcess(instance, generation, reply) => {
+                let _ = reply.send(self.on_withdraw_process(&instance, generation));
             }
             Command::Withdraw(service, address, reply) => {
                 let _ = reply.send(self.on_withdraw(&service, address));
--- a/goldcresttallyd/src/control/fetch.rs
+++ b/goldcresttallyd/src/control/fetch.rs
@@ -18,7 +18,7 @@
         manifest: Option<Digest>,
     ) -> Result<VersionUpdate, String> {
         let digest = manifest.ok_or("the table names no manifest")?;
-        let manifest = self.document.manifest(digest).await.map_err(|e| e.to_string())?;
+        let manifest = self.source.manifest(digest).await.map_err(|e| e.to_string())?;
         let held = Arc::clone(self.machines.borrow().distribution.bundle());
         let changed = manifest.changed_since(held.manifest());
         let sections = futures::stream::iter(changed)
@@ -39,8 +39,8 @@
     async fn read_section(
         &self,
         entry: SectionEntry,
-    ) -> goldcresttally_platform::Result<ChangedSection> {
-        let body = self.document.section_body(entry.digest).await?;
+    ) -> goldcresttally_store::Result<ChangedSection> {
+        let body = self.source.section_body(entry.digest).await?;
         Ok(ChangedSection { name: entry.name, body })
     }
 }
--- a/goldcresttallyd/src/control/join.rs
+++ b/goldcresttallyd/src/control/join.rs
@@ -1,6 +1,7 @@
 //! Joins the members through a seed, and repairs the view with a member.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use goldcresttally_core::NodeId;
 use goldcresttally_distribution as distribution;
@@ -9,6 +10,10 @@
 use super::driver::Control;
 use crate::events::{self, emit};
 
+/// Shortest wait before the directory is asked again, in milliseconds; half of the time within
+/// which a node that starts is to be found by others.
+const DIRECTORY_RETRY_MS: u64 = 500;
+
 impl Control {
     /// Tries a seed when an attempt is due, or any member while the floor is not known yet.
     pub(super) fn join_if_due(self: &Rc<Self>) {
@@ -23,6 +28,7 @@
             (machines.membership.own().id, members.collect())
         };
         seeds.extend(&self.settings.node.seeds);
+        seeds.extend(&*self.listed.borrow());
         seeds.retain(|s| *s != own);
         let Some(seed) = fastrand::choice(seeds) else {
             return;
@@ -32,6 +38,37 @@
         self.tasks.spawn_local(async move { control.join(seed).await });
     }
 
+    /// Puts this node on the directory's list, and reads the list while nobody is known.
+    pub(super) async fn enlist(self: Rc<Self>) {
+        let Some(directory) = self.directory.clone() else { return };
+        let own = self.machines.borrow().membership.own().id;
+        let mut enlisted = false;
+        loop {
+            if !enlisted {
+                let added = directory.add(own).await;
+                enlisted = added.is_ok();
+                if let Err(e) = added {
+                    emit(events::DIRECTORY_FAILED, format_args!("{e}"));
+                }
+            }
+            let alone = self.machines.borrow().membership.members().next().is_none();
+            if alone && let Ok(nodes) = directory.list().await {
+                // With nobody else on the list there is nobody to join.
+                let others = nodes.iter().any(|n| *n != own);
+                self.joined.set(self.joined.get() || !others);
+                *self.listed.borrow_mut() = nodes;
+            }
+            if enlisted && !alone {
+                return;
+            }
+            let wait = DIRECTORY_RETRY_MS + fastrand::u64(0..DIRECTORY_RETRY_MS);
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from_millis(wait)) => {}
+                () = self.stop.cancelled() => return,
+            }
+        }
+    }
+
     async fn join(self: Rc<Self>, seed: NodeId) {
         let record = self.machines.borrow().membership.own().clone();
         let result = self.connections.join(seed, &record).await;
--- a/goldcresttallyd/src/control/membership.rs
+++ b/goldcresttallyd/src/control/membership.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use goldcresttally_core::{NodeId, ServiceName, Version};
+use goldcresttally_core::{Generation, InstanceId, NodeId, ServiceName, Version};
 use goldcresttally_distribution as distribution;
-use goldcresttally_membership::{Action, Announcement, Event, Message, Status};
+use goldcresttally_membership::{Action, Announced, Announcement, Event, Message, Status};
 use goldcresttally_wire::datagram;
 
 use super::command::{LaggingNode, Rollout};
@@ -80,10 +80,10 @@
         }
     }
 
-    pub(super) fn on_announce(self: &Rc<Self>, announcement: Announcement) {
+    pub(super) fn on_announce(self: &Rc<Self>, announcement: Announcement) -> Announced {
         let details = announcement.clone();
-        let changed = self.machines.borrow_mut().registry.announce(self.now(), announcement);
-        if changed {
+        let announced = self.machines.borrow_mut().registry.announce(self.now(), announcement);
+        if announced == Announced::Changed {
             let details = format_args!(
                 "{} at {} with {} slots, {}",
                 details.service, details.address, details.slots, details.state
@@ -91,6 +91,21 @@
             emit(events::UPSTREAM_ANNOUNCED, details);
             self.publish_upstreams();
         }
+        announced
+    }
+
+    pub(super) fn on_withdraw_process(
+        self: &Rc<Self>,
+        instance: &InstanceId,
+        generation: Option<Generation>,
+    ) -> bool {
+        let gone = self.machines.borrow_mut().registry.withdraw_process(instance, generation);
+        if let Some(gone) = &gone {
+            let details = format_args!("{instance} of {} at {}", gone.service, gone.address);
+            emit(events::UPSTREAM_WITHDRAWN, details);
+            self.publish_upstreams();
+        }
+        gone.is_some()
     }
 
     pub(super) fn on_withdraw(self: &Rc<Self>, service: &ServiceName, address: SocketAddr) -> bool {
--- a/goldcresttallyd/src/control/mod.rs
+++ b/goldcresttallyd/src/control/mod.rs
@@ -16,13 +16,14 @@
 mod view;
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
+use goldcresttally_config::SectionFormat;
 use goldcresttally_membership::Record;
 use goldcresttally_proxy::link::Links;
 use goldcresttally_proxy::{Peer, Transport};
+use goldcresttally_store::{Directory, DocumentSource, TableStore};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 
@@ -47,36 +48,63 @@
     pub peer: Arc<Peer>,
     /// The connections for calls, by worker.
     pub links: Vec<Arc<Links>>,
-    /// The platform's address.
-    pub platform: SocketAddr,
+    /// Where accepted versions come from.
+    pub source: Arc<dyn DocumentSource>,
+    /// The format of their sections.
+    pub format: Arc<dyn SectionFormat>,
+    /// The table in which claims are written.
+    pub table: Arc<dyn TableStore>,
+    /// A list of nodes, besides the seeds.
+    pub directory: Option<Arc<dyn Directory>>,
     /// Drives random choices.
     pub seed: u64,
 }
 
-/// The running control thread.
+/// What runs the control machines.
+#[derive(Debug)]
+enum Runner {
+    Thread(JoinHandle<()>),
+    Task(tokio::task::JoinHandle<()>),
+}
+
+/// The running control machines: on a thread of their own, or on the one that serves calls.
 #[derive(Debug)]
 pub struct ControlThread {
-    thread: JoinHandle<()>,
+    runner: Runner,
     /// The way to give it commands.
     pub commands: mpsc::Sender<Command>,
 }
 
 impl ControlThread {
-    /// Binds the control listeners and starts the thread.
-    pub async fn start(config: Config) -> io::Result<Self> {
+    /// Binds the control listeners and starts the machines.
+    ///
+    /// Without a thread of their own they run as local tasks, so the caller must be within a
+    /// `LocalSet`.
+    pub async fn start(config: Config, own_thread: bool) -> io::Result<Self> {
         let address = config.own.id.0;
-        let listener = TcpListener::bind(address).await?.into_std()?;
-        let socket = UdpSocket::bind(address).await?.into_std()?;
+        let tcp = TcpListener::bind(address).await?.into_std()?;
+        let udp = UdpSocket::bind(address).await?.into_std()?;
+        let listeners = driver::Listeners { tcp, udp };
         let (commands, rx) = mpsc::channel(COMMAND_QUEUE);
-        let thread = std::thread::Builder::new().name("control".to_owned());
-        let thread = thread.spawn(move || driver::run_thread(config, listener, socket, rx))?;
-        Ok(Self { thread, commands })
+        let runner = if own_thread {
+            let thread = std::thread::Builder::new().name("control".to_owned());
+            Runner::Thread(thread.spawn(move || driver::run_thread(config, listeners, rx))?)
+        } else {
+            Runner::Task(tokio::task::spawn_local(driver::run_task(config, listeners, rx)))
+        };
+        Ok(Self { runner, commands })
     }
 
-    /// Stops the thread and waits for its end.
+    /// Stops the machines and waits for their end.
     pub async fn stop(self) {
-        // A thread that has ended takes no command and needs none.
+        // Machines that have ended take no command and need none.
         let _ = self.commands.send(Command::Stop).await;
-        let _ = tokio::task::spawn_blocking(|| self.thread.join()).await;
+        match self.runner {
+            // A thread that panicked has printed why.
+            Runner::Thread(thread) => {
+                drop(tokio::task::spawn_blocking(|| thread.join()).await);
+            }
+            Runner::Task(task) => drop(task.await),
+        }
     }
 }
--- a/goldcresttallyd/src/control/spread.rs
+++ b/goldcresttallyd/src/control/spread.rs
@@ -47,7 +47,7 @@
     /// Builds the snapshot of a version and puts it in force whole, or refuses it whole.
     fn install(self: &Rc<Self>, bundle: &Arc<Bundle>) {
         let version = bundle.version();
-        let built = Snapshot::build(version, &bundle.sections());
+        let built = Snapshot::build_with(&*self.format, version, &bundle.sections());
         match built.map(|snapshot| self.peer.state().install(snapshot)) {
             Ok(true) => {
                 emit(events::VERSION_INSTALLED, format_args!("version {version}"));
@@ -75,7 +75,8 @@
     }
 
     async fn poll(self: Rc<Self>) {
-        match self.document.head().await {
+        let known = self.machines.borrow().distribution.version();
+        match self.source.head(known).await {
             Ok(head) => {
                 let (version, manifest) = (head.version, head.manifest);
                 self.on_distribution(Event::HeadRead { version, manifest });
--- a/goldcresttallyd/src/control/view.rs
+++ b/goldcresttallyd/src/control/view.rs
@@ -29,6 +29,7 @@
         let live: Set<_> = records.iter().map(|r| r.peer).collect();
         self.links.iter().for_each(|links| links.retain(|to| live.contains(to)));
         let state = self.peer.state();
+        state.note_members(records.len());
         let table = self.endpoints(&records, &state.endpoints());
         state.set_endpoints(table);
     }
@@ -84,6 +85,7 @@
                     address: a.address,
                     slots: a.slots,
                     draining: a.state == UpstreamState::Draining,
+                    instance: a.process.map(|p| p.instance),
                 })
                 .collect();
             (local, machines.registry.summary(now))
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -36,10 +36,13 @@
     NODE_READY = 1005 Info "node may serve";
     DRAIN_OVERRUN = 1006 Warn "drain deadline passed with calls in flight";
     PROCESS_RESUMED = 1007 Warn "process was paused";
+    SETTINGS_RELOADED = 1008 Info "settings reloaded";
+    SETTINGS_REFUSED = 1009 Warn "settings not reloaded";
     JOINED = 1101 Info "joined the members";
     JOIN_FAILED = 1102 Warn "could not join";
     ISOLATED = 1103 Warn "lost sight of most members: keeping known endpoints";
     REUNITED = 1104 Info "sees most members again";
+    DIRECTORY_FAILED = 1106 Warn "directory of nodes could not be used";
     DATAGRAM_REFUSED = 1105 Warn "unreadable datagram";
     VERSION_INSTALLED = 1201 Info "configuration version in force";
     VERSION_REFUSED = 1202 Error "configuration version refused whole";
@@ -50,6 +53,7 @@
     UPSTREAM_EXPIRED = 1302 Warn "upstream did not renew its lease";
     UPSTREAM_WITHDRAWN = 1303 Info "upstream withdrew";
     UPSTREAM_UNREACHABLE = 1304 Warn "upstream takes no connections: lease ended";
+    UPSTREAM_REFUSED = 1305 Warn "announcement refused";
     SECTION_WRITTEN = 1401 Info "section draft written";
     VERSION_ACCEPTED = 1402 Info "document accepted";
     OPERATOR_REFUSED = 1403 Warn "operator request refused";
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 
 use goldcresttally_admission::Policy;
+use goldcresttally_config::{LimitsSpec, SectionFormat, YamlFormat};
 use goldcresttally_core::{Generation, Incarnation};
 use goldcresttally_membership::{Record, Status};
-use goldcresttally_platform::{Document, HttpPlatform};
 use goldcresttally_proxy::entry::{Entry, Options};
 use goldcresttally_proxy::link::Links;
 use goldcresttally_proxy::service::HandlerService;
@@ -16,6 +16,9 @@
     Clock, Identity, Peer, State, TcpTransport, Transport, Workers, clock, server,
 };
 use goldcresttally_report::Recorder;
+use goldcresttally_store::{
+    Directory, Document, DocumentSource, HttpPlatform, NoStore, ObjectStore, TableStore,
+};
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
@@ -40,6 +43,12 @@
     pub seed: u64,
     /// The generation of the process must be later than this.
     pub after_generation: Generation,
+    /// Where accepted versions come from; the document in the table when absent.
+    pub source: Option<Arc<dyn DocumentSource>>,
+    /// The format of their sections.
+    pub format: Arc<dyn SectionFormat>,
+    /// A list of nodes, besides the seeds.
+    pub directory: Option<Arc<dyn Directory>>,
 }
 
 impl Default for Deps {
@@ -50,6 +59,9 @@
             entry: Options::default(),
             seed: fastrand::u64(..),
             after_generation: Generation(0),
+            source: None,
+            format: Arc::new(YamlFormat),
+            directory: None,
         }
     }
 }
@@ -81,7 +93,8 @@
         let generation = clock::wall_ms().max(deps.after_generation.next().0);
         let generation = Generation(generation);
         let identity = Identity { node: id, peer: settings.node.peer, generation };
-        let state = Arc::new(State::new(identity, Clock::start()));
+        let state = Arc::new(State::new(identity, Clock::start(), settings.conventions()));
+        state.set_allowance(settings.retry_allowance());
         let tasks = TaskTracker::new();
         let transport = deps
             .transport
@@ -99,19 +112,24 @@
             Arc::new(links)
         };
         let links: Vec<_> = workers.handles().iter().map(|_| links()).collect();
-        let control = ControlThread::start(control::Config {
+        let (table, objects) = stores(&settings);
+        let document = Document::new(Arc::clone(&table), objects);
+        let config = control::Config {
             own: own_record(&settings, generation),
             transport: Arc::clone(&transport),
             peer: Arc::clone(&peer),
             links: links.clone(),
-            platform: settings.platform,
+            source: deps.source.unwrap_or_else(|| Arc::new(document.clone())),
+            format: deps.format,
+            table: Arc::clone(&table),
+            directory: deps.directory,
             seed: deps.seed,
             settings: Arc::clone(&settings),
-        })
-        .await?;
+        };
+        let own_thread = settings.node.threads > 0;
+        let control = ControlThread::start(config, own_thread).await?;
         let recorder = Arc::new(Recorder::default());
-        let table = HttpPlatform::new(settings.platform, Some(id.0.ip()));
-        let claims = Arc::new(KeeperClient::new(control.commands.clone(), table.clone()));
+        let claims = Arc::new(KeeperClient::new(control.commands.clone(), table));
         let entry = |links| {
             let claims = Arc::clone(&claims) as _;
             let recorder = Arc::clone(&recorder);
@@ -133,7 +151,7 @@
             call_listeners: Vec::new(),
             listeners: Vec::new(),
         };
-        node.listen(entries, table).await?;
+        node.listen(entries, document).await?;
         emit(events::NODE_STARTED, format_args!("{id} generation {generation}"));
         Ok(node)
     }
@@ -141,26 +159,28 @@
     async fn listen(
         &mut self,
         entries: Vec<(Handle, HandlerService<Entry>)>,
-        table: HttpPlatform,
+        document: Document,
     ) -> io::Result<()> {
         let addresses = &self.settings.node;
         let calls = TcpListener::bind(addresses.calls).await?;
         let peers = TcpListener::bind(addresses.peer).await?;
         let operators = TcpListener::bind(addresses.operator).await?;
-        let table = Arc::new(table);
         let operator = Operator {
             settings: Arc::clone(&self.settings),
-            document: Document::new(Arc::clone(&table) as _, table),
+            document,
             commands: self.control.commands.clone(),
             peer: Arc::clone(&self.peer),
             recorder: Arc::clone(&self.recorder),
         };
         let (tasks, stop) = (&self.tasks, &self.stop);
-        let serve = server::serve(calls, entries, self.stop_calls.clone(), tasks.clone());
+        let state = Arc::clone(&self.state);
+        let limits = move || state.serving().snapshot.limits();
+        let serve = server::serve(calls, entries, limits, self.stop_calls.clone(), tasks.clone());
         self.call_listeners.push(tokio::spawn(serve));
         let peer = |handle| (handle, HandlerService(Arc::clone(&self.peer)));
         let peer = self.workers.handles().into_iter().map(peer).collect();
-        self.listeners.push(tokio::spawn(server::serve(peers, peer, stop.clone(), tasks.clone())));
+        let serve = server::serve(peers, peer, LimitsSpec::default, stop.clone(), tasks.clone());
+        self.listeners.push(tokio::spawn(serve));
         let serve = operator::serve(operators, operator, stop.clone());
         self.listeners.push(tokio::spawn(serve));
         if let Some(metrics) = self.settings.metrics.clone() {
@@ -197,6 +217,17 @@
     }
 }
 
+/// Returns the stores that the settings name.
+fn stores(settings: &Settings) -> (Arc<dyn TableStore>, Arc<dyn ObjectStore>) {
+    match settings.platform {
+        Some(address) => {
+            let store = Arc::new(HttpPlatform::new(address, Some(settings.node.control.0.ip())));
+            (Arc::clone(&store) as _, store)
+        }
+        None => (Arc::new(NoStore), Arc::new(NoStore)),
+    }
+}
+
 fn own_record(settings: &Settings, generation: Generation) -> Record {
     let node = &settings.node;
     Record {
--- a/goldcresttallyd/src/operator/problem.rs
+++ b/goldcresttallyd/src/operator/problem.rs
@@ -3,7 +3,7 @@
 use axum::Json;
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
-use goldcresttally_platform::Error;
+use goldcresttally_store::Error;
 use serde_json::{Value, json};
 
 use crate::events::{self, emit};
--- a/goldcresttallyd/src/operator/sections.rs
+++ b/goldcresttallyd/src/operator/sections.rs
@@ -5,7 +5,7 @@
 use axum::extract::{Path, Query, State};
 use axum::http::{HeaderMap, StatusCode};
 use goldcresttally_core::{OperationId, SectionName, Version};
-use goldcresttally_platform::DraftInfo;
+use goldcresttally_store::DraftInfo;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
--- a/goldcresttallyd/src/operator/upstreams.rs
+++ b/goldcresttallyd/src/operator/upstreams.rs
@@ -50,7 +50,7 @@
         .parse()
         .map_err(|e: goldcresttally_core::Error| Problem::bad_request(e.to_string()))?;
     let Announced { service, address, slots, .. } = body;
-    let announcement = Announcement { service, address, slots, state };
+    let announcement = Announcement { service, address, slots, state, process: None };
     operator.ask(|reply| Command::Announce(announcement, reply)).await?;
     Ok(Json(json!({ "lease_ms": LEASE_MS })))
 }
--- a/goldcresttallyd/src/operator/versions.rs
+++ b/goldcresttallyd/src/operator/versions.rs
@@ -9,8 +9,8 @@
 use goldcresttally_config::{Manifest, SectionEntry};
 use goldcresttally_core::{OperationId, Version};
 use goldcresttally_distribution::{ChangedSection, VersionUpdate};
-use goldcresttally_platform::{Accepted, Content, HistoryEntry};
 use goldcresttally_proxy::clock::wall_ms;
+use goldcresttally_store::{Accepted, Content, HistoryEntry};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -57,7 +57,7 @@
         None => Manifest::default(),
     };
     let drafts = operator.document.drafts().await?;
-    let entry = |d: &goldcresttally_platform::DraftInfo| SectionEntry {
+    let entry = |d: &goldcresttally_store::DraftInfo| SectionEntry {
         name: d.name.clone(),
         digest: d.digest,
     };
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -1,11 +1,16 @@
 //! Checks that go beyond the type of a value, and conversion to the options of the parts.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership as membership;
+use goldcresttally_proxy::Conventions;
+use goldcresttally_proxy::state::RetryAllowance;
+use goldcresttally_routing::BudgetOptions;
+use http::HeaderName;
 
-use super::Settings;
+use super::{ConventionSettings, Settings};
 
 /// The key at fault and what is wrong with it.
 type Fault = (String, String);
@@ -35,7 +40,61 @@
                 "must be from 0.1 to 1000".to_owned(),
             );
         }
-        in_range("node.threads", self.node.threads as u64, 1, 64)
+        in_range("membership.lease_ms", m.lease_ms, 100, 600_000)?;
+        in_range("requests.retry_window_ms", r.retry_window_ms, 100, 3_600_000)?;
+        for (key, value, most) in [
+            ("requests.retry_share", r.retry_share, 10.0),
+            ("requests.retry_reserve", r.retry_reserve, 1e6),
+            ("requests.retry_spend", r.retry_spend, 1.0),
+        ] {
+            if !(0.0..=most).contains(&value) {
+                return fault(key, format!("`{value}` is not from 0 to {most}"));
+            }
+        }
+        self.check_headers()?;
+        in_range("node.threads", self.node.threads as u64, 0, 64)
+    }
+
+    fn check_headers(&self) -> Result<(), Fault> {
+        for (key, name) in self.conventions.header_names() {
+            if name.is_some_and(|n| HeaderName::try_from(n).is_err()) {
+                let message = format!("`{}` is no header name", name.unwrap_or_default());
+                return fault(&format!("conventions.{key}"), message);
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns what callers and upstreams agree on.
+    pub fn conventions(&self) -> Conventions {
+        let c = &self.conventions;
+        // Checked when the settings were read.
+        let name = |n: &Option<Arc<str>>| n.as_deref().and_then(|n| HeaderName::try_from(n).ok());
+        let defaults = Conventions::default();
+        Conventions {
+            deadline_ms: name(&c.deadline_header).unwrap_or(defaults.deadline_ms),
+            not_run: name(&c.not_run_header).unwrap_or(defaults.not_run),
+            call_id: name(&c.call_id_header),
+            target_instance: name(&c.target_instance_header),
+            caller_service: name(&c.caller_service_header),
+            signature: name(&c.signature_header),
+            close_delimited: c.close_delimited_answers,
+            fractional_retry_after: c.fractional_retry_after,
+            own_service: c.own_service.clone(),
+        }
+    }
+
+    /// Returns what all nodes together may spend on retries.
+    pub fn retry_allowance(&self) -> RetryAllowance {
+        let r = &self.requests;
+        RetryAllowance {
+            total: BudgetOptions {
+                share: r.retry_share,
+                reserve: r.retry_reserve,
+                window: Duration::from_millis(r.retry_window_ms),
+            },
+            spend: r.retry_spend,
+        }
     }
 
     fn check_addresses(&self) -> Result<(), Fault> {
@@ -85,6 +144,19 @@
     }
 }
 
+impl ConventionSettings {
+    fn header_names(&self) -> [(&'static str, Option<&str>); 6] {
+        [
+            ("deadline_header", self.deadline_header.as_deref()),
+            ("not_run_header", self.not_run_header.as_deref()),
+            ("call_id_header", self.call_id_header.as_deref()),
+            ("target_instance_header", self.target_instance_header.as_deref()),
+            ("caller_service_header", self.caller_service_header.as_deref()),
+            ("signature_header", self.signature_header.as_deref()),
+        ]
+    }
+}
+
 fn in_range(key: &str, value: u64, least: u64, most: u64) -> Result<(), Fault> {
     match (least..=most).contains(&value) {
         true => Ok(()),
--- a/goldcresttallyd/src/settings/mod.rs
+++ b/goldcresttallyd/src/settings/mod.rs
@@ -6,8 +6,8 @@
 use std::fmt;
 
 pub use types::{
-    DistributionSettings, LogLevel, LogSettings, MembershipSettings, MetricsSettings, NodeSettings,
-    RequestSettings, Settings, TeamSettings,
+    ConventionSettings, DistributionSettings, LogLevel, LogSettings, MembershipSettings,
+    MetricsSettings, NodeSettings, RequestSettings, Settings, TeamSettings,
 };
 
 /// Says what is wrong with the settings.
--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use goldcresttally_config::Digest;
-use goldcresttally_core::{DomainId, NodeId, RegionId, TeamName};
+use goldcresttally_core::{DomainId, NodeId, RegionId, ServiceName, TeamName};
+use goldcresttally_membership::registry::LEASE_MS;
 use serde::{Deserialize, Serialize};
 
 /// All settings of a node.
@@ -14,8 +15,9 @@
 pub struct Settings {
     /// Addresses and place of the node.
     pub node: NodeSettings,
-    /// Address of the platform's table service and object store.
-    pub platform: SocketAddr,
+    /// Address of the table service and object store; an embedder may bring its own instead.
+    #[serde(default)]
+    pub platform: Option<SocketAddr>,
     /// Teams that may write sections and accept versions.
     #[serde(default)]
     pub teams: BTreeMap<TeamName, TeamSettings>,
@@ -28,6 +30,9 @@
     /// How requests are run.
     #[serde(default)]
     pub requests: RequestSettings,
+    /// What callers and upstreams agree on with this system.
+    #[serde(default)]
+    pub conventions: ConventionSettings,
     /// Where metrics go; nowhere when absent.
     #[serde(default)]
     pub metrics: Option<MetricsSettings>,
@@ -55,7 +60,7 @@
     /// Control addresses of nodes through which to join.
     #[serde(default)]
     pub seeds: Vec<NodeId>,
-    /// Threads that serve calls.
+    /// Threads that serve calls; with 0, one thread does everything.
     #[serde(default = "default_threads")]
     pub threads: usize,
 }
@@ -114,6 +119,8 @@
     pub probe_timeout_ms: u64,
     /// Shortest time that a suspect has to refute, in milliseconds.
     pub suspicion_ms: u64,
+    /// Time for which an upstream's announcement holds, in milliseconds.
+    pub lease_ms: u64,
 }
 
 impl Default for MembershipSettings {
@@ -123,6 +130,7 @@
             probe_interval_ms: options.probe_interval.as_millis() as u64,
             probe_timeout_ms: options.probe_timeout.as_millis() as u64,
             suspicion_ms: options.suspicion_base.as_millis() as u64,
+            lease_ms: LEASE_MS,
         }
     }
 }
@@ -139,6 +147,15 @@
     pub claim_writes_per_second: f64,
     /// Whether a refusal names a less loaded node.
     pub redirects: bool,
+    /// Retries that all nodes together may make to one service, per call.
+    pub retry_share: f64,
+    /// Retries that all nodes together may make to one service in any window besides.
+    pub retry_reserve: f64,
+    /// The window of the retry budget, in milliseconds.
+    pub retry_window_ms: u64,
+    /// Share of the retry budget that is spent on retries; a run that is repeated repeats the
+    /// calls that it makes, which need the rest.
+    pub retry_spend: f64,
 }
 
 impl Default for RequestSettings {
@@ -148,10 +165,38 @@
             drain_ms: 30_000,
             claim_writes_per_second: 30.0,
             redirects: false,
+            retry_share: 0.2,
+            retry_reserve: 60.0,
+            retry_window_ms: 10_000,
+            retry_spend: 1.0,
         }
     }
 }
 
+/// Names of headers that callers and upstreams speak, and what an answer must bear.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ConventionSettings {
+    /// Header with the time left until the deadline, in milliseconds.
+    pub deadline_header: Option<Arc<str>>,
+    /// Header by which an upstream says that a call did not run.
+    pub not_run_header: Option<Arc<str>>,
+    /// Header with the call's id, which an upstream repeats in its answer.
+    pub call_id_header: Option<Arc<str>>,
+    /// Header that names to the upstream the process that is to run the call.
+    pub target_instance_header: Option<Arc<str>>,
+    /// Header that names to the upstream the service beside which the call entered.
+    pub caller_service_header: Option<Arc<str>>,
+    /// Header without which a successful answer is not an upstream's.
+    pub signature_header: Option<Arc<str>>,
+    /// Whether an answer may end with its connection.
+    pub close_delimited_answers: bool,
+    /// Whether `Retry-After` may have fractions of a second.
+    pub fractional_retry_after: bool,
+    /// The service beside this node.
+    pub own_service: Option<ServiceName>,
+}
+
 /// Where metrics go.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/tally-lab/src/fleet/mod.rs
+++ b/tally-lab/src/fleet/mod.rs
@@ -107,6 +107,7 @@
             entry: self.options.entry,
             seed: self.seed.wrapping_mul(1000) + i as u64,
             after_generation: vm.last_generation,
+            ..Deps::default()
         };
         let node = Node::start(settings, deps).await?;
         vm.last_generation = node.state().identity.generation;
