Admission: service times by class of call, earliest target first within a rank

Cause: calls that instances make (target 200 ms) stood behind lookups of the same rank (1500 ms) and were refused by an average over all work, which failed their parents.

--- a/goldcresttally-admission/src/limit.rs
+++ b/goldcresttally-admission/src/limit.rs
@@ -80,11 +80,6 @@
         self.limit = self.limit.min(ceiling);
     }
 
-    /// Returns the average service time seen.
-    pub fn service_time(&self) -> Option<Duration> {
-        self.latency_s.map(Duration::from_secs_f64)
-    }
-
     /// Takes the end of a call that ran for `latency` while `running` calls ran.
     pub fn observe(&mut self, now: MonoTime, outcome: Outcome, latency: Duration, running: usize) {
         match outcome {
--- a/goldcresttally-admission/src/machine.rs
+++ b/goldcresttally-admission/src/machine.rs
@@ -7,6 +7,7 @@
 
 use crate::limit::{AdaptiveLimit, Outcome};
 use crate::queue::{RankedQueue, Waiting};
+use crate::service_times::{CallClass, ServiceTimes};
 
 /// One slot in so many, rounded, is kept free for urgent calls that are expected.
 const HEADROOM_DIVISOR: usize = 12;
@@ -152,10 +153,20 @@
     options: Options,
     limit: AdaptiveLimit,
     queue: RankedQueue,
-    running: Map<CallId, MonoTime>,
+    running: Map<CallId, Running>,
+    /// The classes of the calls that wait or run.
+    classes: Map<CallId, CallClass>,
+    times: ServiceTimes,
     draining: bool,
 }
 
+/// A call that runs.
+#[derive(Debug, Clone, Copy)]
+struct Running {
+    since: MonoTime,
+    class: CallClass,
+}
+
 impl Admission {
     /// Returns the machine of an upstream that takes calls.
     pub fn new(options: Options) -> Self {
@@ -163,7 +174,15 @@
         queue.set_floors(floors_of(&options));
         let mut limit = AdaptiveLimit::new(options.concurrency);
         limit.set_adaptive(options.adaptive);
-        Self { limit, queue, running: Map::default(), draining: false, options }
+        Self {
+            limit,
+            queue,
+            running: Map::default(),
+            classes: Map::default(),
+            times: ServiceTimes::default(),
+            draining: false,
+            options,
+        }
     }
 
     /// Takes one event and appends what is to be done to `actions`.
@@ -171,30 +190,50 @@
         match event {
             Event::Offer { call, rank, deadline, on_time_by, target } => {
                 let is_late = on_time_by.is_past(now);
-                let max_wait = (!is_late).then(|| self.max_wait(now, on_time_by, target));
-                let start_by = self.start_by(now, deadline, max_wait);
+                let class = CallClass { rank, target };
+                let work = self.times.of(class);
+                let max_wait = (!is_late).then(|| max_wait(now, on_time_by, target, work));
+                let start_by = start_by(now, deadline, max_wait, work);
                 // A call that is late already must not make others late.
                 let last = self.options.floors.len().max(rank);
                 let lane = if is_late { last } else { rank };
-                let offered = Waiting { call, start_by, arrived: now };
+                let offered = Waiting { call, start_by, arrived: now, on_time_by, work };
+                self.classes.insert(call, class);
+                let first = actions.len();
                 self.on_offer(now, lane, offered, actions);
+                self.forget_refused(&actions[first..]);
             }
             Event::Finish { call, outcome } => self.on_finish(now, call, outcome),
             Event::Withdraw { call } => {
                 // Its turn may have come just before it was given up.
-                if !self.queue.remove(call) {
-                    self.on_finish(now, call, Outcome::Failed);
+                match self.queue.remove(call) {
+                    true => drop(self.classes.remove(&call)),
+                    false => self.on_finish(now, call, Outcome::Failed),
                 }
             }
             Event::Configure(options) => self.configure(options),
-            Event::Drain => self.on_drain(actions),
+            Event::Drain => {
+                let first = actions.len();
+                self.on_drain(actions);
+                self.forget_refused(&actions[first..]);
+            }
             Event::Open => self.draining = false,
             Event::Tick => {}
         }
+        let first = actions.len();
         self.refuse_expired(now, actions);
+        self.forget_refused(&actions[first..]);
         self.dispatch(now, actions);
     }
 
+    fn forget_refused(&mut self, actions: &[Action]) {
+        for action in actions {
+            if let Action::Refuse(call, _) = action {
+                self.classes.remove(call);
+            }
+        }
+    }
+
     /// Returns how loaded the upstream is.
     pub fn load(&self) -> Load {
         let limit = self.limit.get();
@@ -219,35 +258,6 @@
         self.options = options;
     }
 
-    /// Returns how long a call may wait and still be on time.
-    ///
-    /// Calls that wait until they are late only make those behind them late too. Where the target
-    /// is hardly above the service time, one service time of waiting is allowed all the same, or
-    /// everything would be refused.
-    fn max_wait(&self, now: MonoTime, on_time_by: Deadline, target: Duration) -> Duration {
-        let service_time = self.service_time();
-        let usual = service_time.mul_f64(SERVICE_TIME_MARGIN);
-        let spare = on_time_by.remaining(now).saturating_sub(usual);
-        let tight = target < 2 * service_time;
-        // A call that finds a free slot need not wait at all.
-        let least = if tight { service_time } else { Duration::from_millis(1) };
-        spare.max(least)
-    }
-
-    /// Returns until when a call must start to be answered before its deadline, and within its
-    /// longest wait where that is known.
-    fn start_by(&self, now: MonoTime, deadline: Deadline, max_wait: Option<Duration>) -> Deadline {
-        let service_time = self.service_time();
-        // Half of the usual service time may be enough for one call.
-        let last = deadline.remaining(now).saturating_sub(service_time.div_f64(2.0));
-        let max_wait = max_wait.filter(|_| !service_time.is_zero());
-        Deadline::after(now, max_wait.map_or(last, |max_wait| max_wait.min(last)))
-    }
-
-    fn service_time(&self) -> Duration {
-        self.limit.service_time().unwrap_or(Duration::ZERO)
-    }
-
     fn on_offer(
         &mut self,
         now: MonoTime,
@@ -262,7 +272,7 @@
         }
         let fifo = self.options.policy == Policy::Fifo;
         let lane = if fifo { 0 } else { rank };
-        if !fifo && offered.start_by.is_past(now + self.expected_wait(lane)) {
+        if !fifo && offered.start_by.is_past(now + self.wait_for(lane, offered.on_time_by)) {
             // What would be late because of the work ahead of it is refused for that work's sake.
             let refusal = match offered.start_by.is_past(now) {
                 true => Refusal::Deadline,
@@ -279,14 +289,22 @@
         self.queue.push(lane, offered);
     }
 
-    /// Returns how long a call of `rank` would wait for the work that goes before it.
-    fn expected_wait(&self, rank: usize) -> Duration {
+    /// Returns how long a call of `rank` that is on time until `on_time_by` would wait for the work
+    /// that goes before it.
+    fn wait_for(&self, rank: usize, on_time_by: Deadline) -> Duration {
         let limit = self.limit.get();
         if self.running.len() < limit {
             return Duration::ZERO;
         }
-        let turns = self.queue.ahead_of(rank) + 1;
-        self.service_time().mul_f64(turns as f64 / limit as f64)
+        // The first slot is free after a share of the time of those that run.
+        let ahead = self.times.overall() + self.queue.work_ahead(rank, on_time_by);
+        ahead.div_f64(limit as f64)
+    }
+
+    /// Returns how long a call that came now would wait and run.
+    pub fn expected(&self, now: MonoTime, class: CallClass) -> Duration {
+        let on_time_by = Deadline::after(now, class.target);
+        self.wait_for(class.rank, on_time_by) + self.times.of(class)
     }
 
     /// Finds a place in the queue, at the cost of less urgent calls if need be.
@@ -306,8 +324,11 @@
 
     fn on_finish(&mut self, now: MonoTime, call: CallId, outcome: Outcome) {
         let running = self.running.len();
-        if let Some(started) = self.running.remove(&call) {
-            self.limit.observe(now, outcome, now.since(started), running);
+        let Some(ended) = self.running.remove(&call) else { return };
+        let took = now.since(ended.since);
+        self.limit.observe(now, outcome, took, running);
+        if outcome == Outcome::Answered {
+            self.times.observe(ended.class, took);
         }
     }
 
@@ -329,7 +350,8 @@
         while self.has_slot() {
             let free = self.limit.get().saturating_sub(self.running.len());
             let Some(next) = self.queue.pop(now, free, self.headroom()) else { return };
-            self.running.insert(next.call, now);
+            let Some(class) = self.classes.remove(&next.call) else { continue };
+            self.running.insert(next.call, Running { since: now, class });
             actions.push(Action::Dispatch(next.call));
         }
     }
@@ -347,6 +369,33 @@
     }
 }
 
+/// Returns how long a call may wait and still be on time.
+///
+/// Calls that wait until they are late only make those behind them late too. Where the target is
+/// hardly above the service time, one service time of waiting is allowed all the same, or
+/// everything would be refused.
+fn max_wait(now: MonoTime, on_time_by: Deadline, target: Duration, work: Duration) -> Duration {
+    let spare = on_time_by.remaining(now).saturating_sub(work.mul_f64(SERVICE_TIME_MARGIN));
+    let tight = target < 2 * work;
+    // A call that finds a free slot need not wait at all.
+    let least = if tight { work } else { Duration::from_millis(1) };
+    spare.max(least)
+}
+
+/// Returns until when a call must start to be answered before its deadline, and within its
+/// longest wait where that is known.
+fn start_by(
+    now: MonoTime,
+    deadline: Deadline,
+    max_wait: Option<Duration>,
+    work: Duration,
+) -> Deadline {
+    // Half of the usual service time may be enough for one call.
+    let last = deadline.remaining(now).saturating_sub(work.div_f64(2.0));
+    let max_wait = max_wait.filter(|_| !work.is_zero());
+    Deadline::after(now, max_wait.map_or(last, |max_wait| max_wait.min(last)))
+}
+
 fn floors_of(options: &Options) -> &[f64] {
     match options.policy {
         Policy::Ranked => &options.floors,
--- a/goldcresttally-admission/src/queue.rs
+++ b/goldcresttally-admission/src/queue.rs
@@ -23,6 +23,10 @@
     pub start_by: Deadline,
     /// When it came.
     pub arrived: MonoTime,
+    /// Until when its answer is on time: within a rank, the earliest goes first.
+    pub on_time_by: Deadline,
+    /// How long it is expected to run.
+    pub work: Duration,
 }
 
 /// The calls of one rank.
@@ -63,18 +67,29 @@
         self.len == 0
     }
 
-    /// Returns how many calls would be served before one of `rank` that came now.
+    /// Returns the work of the calls that would be served before one of `rank` that is on time
+    /// until `on_time_by`.
+    pub fn work_ahead(&self, rank: usize, on_time_by: Deadline) -> Duration {
+        let more_urgent = self.lanes.iter().take(rank).flat_map(|l| &l.waiting);
+        let own = self.lanes.get(rank).into_iter().flat_map(|l| &l.waiting);
+        let earlier = own.take_while(|w| w.on_time_by <= on_time_by);
+        more_urgent.chain(earlier).map(|w| w.work).sum()
+    }
+
+    /// Returns how many calls of `rank` and more urgent ones wait.
     pub fn ahead_of(&self, rank: usize) -> usize {
         self.lanes.iter().take(rank + 1).map(|l| l.waiting.len()).sum()
     }
 
-    /// Adds a call at the end of its rank.
+    /// Adds a call to its rank, behind those that are late no later than it.
     pub fn push(&mut self, rank: usize, waiting: Waiting) {
         if self.lanes.len() <= rank {
             self.lanes.resize_with(rank + 1, Lane::default);
         }
-        self.lanes[rank].arrived = Some(waiting.arrived);
-        self.lanes[rank].waiting.push_back(waiting);
+        let lane = &mut self.lanes[rank];
+        lane.arrived = Some(waiting.arrived);
+        let at = lane.waiting.partition_point(|w| w.on_time_by <= waiting.on_time_by);
+        lane.waiting.insert(at, waiting);
         self.len += 1;
     }
 
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -42,8 +42,8 @@
     JOIN_FAILED = 1102 Warn "could not join";
     ISOLATED = 1103 Warn "lost sight of most members: keeping known endpoints";
     REUNITED = 1104 Info "sees most members again";
-    DIRECTORY_FAILED = 1106 Warn "directory of nodes could not be used";
     DATAGRAM_REFUSED = 1105 Warn "unreadable datagram";
+    DIRECTORY_FAILED = 1106 Warn "directory of nodes could not be used";
     VERSION_INSTALLED = 1201 Info "configuration version in force";
     VERSION_REFUSED = 1202 Error "configuration version refused whole";
     POLL_FAILED = 1203 Warn "table could not be read";
