A stopping node serves callers to its end; broken and failed safe calls run elsewhere at once

Cause: after 2.6 s of a stop the listener was closed while the platform still sent callers; an idempotent call on a broken link asked for its outcome (up to 3 s) where a second run takes 0.3 s; nodes that take no connection were picked again.

--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -8,7 +8,7 @@
 use goldcresttally_routing::{Endpoint, Failure, Throttle, Tries, TryLimits};
 use http::header::EXPECT;
 use http::request::Parts;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{LengthLimitError, Limited};
 use hyper::body::Body;
 
@@ -21,6 +21,9 @@
 /// Longest random wait before another attempt, in milliseconds.
 const RETRY_JITTER_MS: u64 = 10;
 
+/// Time that a node takes to start again after a planned stop.
+const RESTART_TIME: Duration = Duration::from_millis(500);
+
 /// Further attempts after refusals which no upstream has seen; each costs a round trip between
 /// nodes.
 const UNSEEN_TRIES: u8 = 2;
@@ -73,6 +76,10 @@
         let asked = headers::time_left(&parts.headers, &conventions.deadline_ms);
         let asked = asked.unwrap_or(route.timeout);
         let deadline = Deadline::after(started, asked.min(route.timeout));
+        if !entry.state.outlasts(deadline) {
+            let retry_after = Some(entry.state.time_to_end() + RESTART_TIME);
+            return Err(CallError { retry_after, ..CallError::not_run(Reason::Draining) });
+        }
         let key = parts.headers.get(headers::IDEMPOTENCY_KEY).cloned();
         headers::strip_internal(&mut parts.headers);
         headers::strip_hop_by_hop(&mut parts.headers);
@@ -124,15 +131,37 @@
         tries: &mut Tries,
         body: &Replay<CallBody>,
     ) -> Result<Response<CallBody>, CallError> {
+        let mut failed = None;
         loop {
-            let attempt = self.next_attempt(tries)?;
+            let attempt = match self.next_attempt(tries) {
+                Ok(attempt) => attempt,
+                Err(error) => return failed.ok_or(error),
+            };
             match self.attempt(&attempt, body, false).await {
+                Ok(response) if self.has_failed(&response) => {
+                    let failure = CallError::ran(Reason::UpstreamFailed);
+                    if self.check_retry(tries, &failure, body).await.is_err() {
+                        return Ok(response);
+                    }
+                    failed = Some(response);
+                }
                 Ok(response) => return Ok(response),
-                Err(error) => self.check_retry(tries, &error, body).await?,
+                Err(error) => {
+                    if let Err(error) = self.check_retry(tries, &error, body).await {
+                        // An upstream's own failure says more than that of a later attempt.
+                        return failed.ok_or(error);
+                    }
+                }
             }
         }
     }
 
+    /// Tells whether another upstream may do better: this one failed with time left.
+    fn has_failed(&self, response: &Response<CallBody>) -> bool {
+        let status = response.status();
+        self.route.idempotent && status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
+    }
+
     /// Picks the endpoint of the next attempt.
     pub fn next_attempt(&self, tries: &mut Tries) -> Result<Attempt, CallError> {
         let endpoints = self.entry.state.endpoints();
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -97,7 +97,10 @@
             Ok(routed) => routed,
             Err(error) => return self.failed(error),
         };
-        let result = call.run(body).await;
+        let result = tokio::select! {
+            result = call.run(body) => result,
+            () = self.state.ending() => Err(CallError::may_have_run(Reason::Deadline)),
+        };
         let latency = self.state.clock.now().since(started);
         self.record(&call, &result, latency);
         match result {
@@ -144,6 +147,7 @@
     async fn handle(self: Arc<Self>, req: Request<CallBody>) -> Response<CallBody> {
         let state = Arc::clone(&self.state);
         let http1 = req.version() < http::Version::HTTP_2;
+        let _in_flight = state.enter_call();
         let mut response = self.answer(req).await;
         // The caller's next call goes to a node that stays.
         if state.is_leaving() && http1 {
--- a/goldcresttally-proxy/src/entry/observe.rs
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -95,6 +95,10 @@
                     throttle.refused();
                 }
             }
+            Err(error) if error.reason == Reason::Unreachable => {
+                self.entry.ejection.on_unreachable(now, &attempt.endpoint);
+                self.entry.state.counters.ejections.add();
+            }
             Err(error) if is_endpoint_failure(error) => {
                 let endpoints = self.entry.state.endpoints();
                 let all = endpoints.get(&self.service.name);
--- a/goldcresttally-proxy/src/entry/settle.rs
+++ b/goldcresttally-proxy/src/entry/settle.rs
@@ -30,7 +30,11 @@
     /// Settles an attempt whose connection broke.
     pub async fn settle(&self, attempt: &Attempt) -> Result<Response<CallBody>, CallError> {
         let lost = Err(CallError::may_have_run(Reason::ConnectionLost));
-        if !self.entry.options.settle || attempt.endpoint.node == self.entry.state.identity.node {
+        // Asking takes longer than running an idempotent call elsewhere.
+        if self.route.idempotent
+            || !self.entry.options.settle
+            || attempt.endpoint.node == self.entry.state.identity.node
+        {
             return lost;
         }
         self.entry.state.counters.settled.add();
--- a/goldcresttally-proxy/src/link/dial.rs
+++ b/goldcresttally-proxy/src/link/dial.rs
@@ -13,13 +13,13 @@
 use super::{Link, LinkError, Links};
 
 /// Time within which a connection must stand, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 500;
+const CONNECT_TIMEOUT_MS: u64 = 300;
 
 /// Time between pings while calls are in flight, in milliseconds.
-const PING_INTERVAL_MS: u64 = 500;
+const PING_INTERVAL_MS: u64 = 300;
 
 /// Time within which a ping must be answered, in milliseconds.
-const PING_TIMEOUT_MS: u64 = 1000;
+const PING_TIMEOUT_MS: u64 = 700;
 
 /// Bytes that a node takes of one answer before they are read.
 const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -3,10 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use goldcresttally_config::Snapshot;
-use goldcresttally_core::{AttemptId, Generation, Map, NodeId, ServiceName};
+use goldcresttally_core::{AttemptId, Deadline, Generation, Map, MonoTime, NodeId, ServiceName};
+use tokio_util::sync::CancellationToken;
+
 use goldcresttally_routing::{BudgetOptions, Endpoint, RetryBudget, Throttle};
 
 use crate::clock::Clock;
@@ -78,6 +81,16 @@
     }
 }
 
+/// Counts a call as in flight until it is dropped.
+#[derive(Debug)]
+pub struct CallGuard(Arc<State>);
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.0.calls_in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// What the request path reads.
 #[derive(Debug)]
 pub struct State {
@@ -96,6 +109,11 @@
     endpoints: ArcSwap<EndpointTable>,
     ready: AtomicBool,
     leaving: AtomicBool,
+    /// Until when a leaving node takes calls, and until when they must have ended.
+    takes_until_us: AtomicU64,
+    ends_by_us: AtomicU64,
+    ending: CancellationToken,
+    calls_in_flight: AtomicUsize,
     sequence: AtomicU64,
     superseded_by: AtomicU64,
 }
@@ -114,6 +132,10 @@
             endpoints: ArcSwap::default(),
             ready: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            takes_until_us: AtomicU64::new(u64::MAX),
+            ends_by_us: AtomicU64::new(u64::MAX),
+            ending: CancellationToken::new(),
+            calls_in_flight: AtomicUsize::new(0),
             sequence: AtomicU64::new(0),
             superseded_by: AtomicU64::new(0),
         }
@@ -185,11 +207,48 @@
         self.leaving.load(Ordering::Acquire)
     }
 
-    /// Takes no new calls to run from now on.
-    pub fn set_leaving(&self) {
+    /// Takes no new calls to run from now on; callers are served through other nodes until
+    /// `takes_until`, as long as they can be answered by `ends_by`.
+    pub fn set_leaving(&self, takes_until: Deadline, ends_by: Deadline) {
+        self.takes_until_us.store(takes_until.0.0, Ordering::Release);
+        self.ends_by_us.store(ends_by.0.0, Ordering::Release);
         self.leaving.store(true, Ordering::Release);
     }
 
+    /// Tells whether this node can see a call that ends by `deadline` to its end.
+    pub fn outlasts(&self, deadline: Deadline) -> bool {
+        let takes_until = Deadline(MonoTime(self.takes_until_us.load(Ordering::Acquire)));
+        let ends_by = Deadline(MonoTime(self.ends_by_us.load(Ordering::Acquire)));
+        deadline <= ends_by && !takes_until.is_past(self.clock.now())
+    }
+
+    /// Returns how long this node still runs.
+    pub fn time_to_end(&self) -> Duration {
+        let ends_by = Deadline(MonoTime(self.ends_by_us.load(Ordering::Acquire)));
+        ends_by.remaining(self.clock.now())
+    }
+
+    /// Ends the calls that are still in flight with an answer.
+    pub fn end_calls(&self) {
+        self.ending.cancel();
+    }
+
+    /// Waits until calls are to end.
+    pub async fn ending(&self) {
+        self.ending.cancelled().await;
+    }
+
+    /// Counts a call that entered here until it is answered.
+    pub fn enter_call(self: &Arc<Self>) -> CallGuard {
+        self.calls_in_flight.fetch_add(1, Ordering::AcqRel);
+        CallGuard(Arc::clone(self))
+    }
+
+    /// Returns the calls that entered here and are not answered yet.
+    pub fn calls_in_flight(&self) -> usize {
+        self.calls_in_flight.load(Ordering::Acquire)
+    }
+
     /// Notes that a later generation was seen at this node's address.
     pub fn set_superseded(&self, by: Generation) {
         self.superseded_by.store(by.0, Ordering::Release);
--- a/goldcresttally-routing/src/ejection.rs
+++ b/goldcresttally-routing/src/ejection.rs
@@ -24,6 +24,12 @@
 }
 
 impl Ejection {
+    /// Leaves out an endpoint to which no connection could be opened: other than a failure, that
+    /// is no sign of overload, and however many are cut off, calls do better at the rest.
+    pub fn on_unreachable(&self, now: MonoTime, endpoint: &Endpoint) {
+        endpoint.observed.eject(now + self.base);
+    }
+
     /// Notes a failure of `endpoint`, one of `all`; returns whether it is left out now.
     pub fn on_failure(&self, now: MonoTime, endpoint: &Endpoint, all: &[Endpoint]) -> bool {
         let failures = endpoint.observed.failed();
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -33,7 +33,7 @@
 const VIEW_INTERVAL_MS: u64 = 200;
 
 /// Time that tasks of the control thread have to end, in milliseconds.
-const STOP_LIMIT_MS: u64 = 500;
+const STOP_LIMIT_MS: u64 = 200;
 
 /// Largest datagram that is read, in bytes.
 const DATAGRAM_BUFFER_BYTES: usize = 64 * 1024;
--- a/goldcresttallyd/src/node/stop.rs
+++ b/goldcresttallyd/src/node/stop.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use goldcresttally_core::Deadline;
 use tokio::time::Instant;
 
 use super::Node;
@@ -9,31 +10,43 @@
 use crate::events::{self, emit};
 
 /// Time that listeners have to close once nothing is in flight, in milliseconds.
-const CLOSE_LIMIT_MS: u64 = 1000;
+const CLOSE_LIMIT_MS: u64 = 200;
+
+/// Time within which nearly all others know that this node leaves, in milliseconds: some rounds
+/// of gossip.
+const GOSSIP_NOTICE_MS: u64 = 1000;
+
+/// Interval at which it is checked whether calls have ended, in milliseconds.
+const IDLE_CHECK_MS: u64 = 20;
 
 impl Node {
     /// Stops as planned: tells the others, takes nothing new, and finishes what is in flight.
     ///
+    /// Callers that still come are served through other nodes, or refused as not run.
     /// Returns whether all that was in flight ended before the drain deadline.
     pub async fn stop(mut self) -> bool {
         let requests = self.settings.requests.clone();
-        let deadline = Instant::now() + Duration::from_millis(requests.drain_ms);
+        let now = self.state.clock.now();
+        let after = |ms| Deadline::after(now, Duration::from_millis(ms));
+        let ends_by = after(requests.drain_ms);
         emit(events::NODE_LEAVING, format_args!("{}", self.state.identity.node));
-        self.state.set_leaving();
+        self.state.set_leaving(after(requests.leave_notice_ms), ends_by);
         self.peer.drain();
         // A control thread that has ended has told the others already.
         let _ = self.control.commands.send(Command::Leave).await;
         // Until the others know, they send calls here; these are refused as not run.
-        tokio::time::sleep(Duration::from_millis(requests.leave_notice_ms)).await;
-        self.stop_calls.cancel();
-        let calls_ended = join_by(deadline, &mut self.call_listeners).await;
-        // Attempts of other entries may still run here.
-        let attempts_ended = self.attempts_end(deadline).await;
-        if !(calls_ended && attempts_ended) {
+        let notice = requests.leave_notice_ms.min(GOSSIP_NOTICE_MS);
+        tokio::time::sleep(Duration::from_millis(notice)).await;
+        let ended = self.calls_end(ends_by).await;
+        if !ended {
             emit(events::DRAIN_OVERRUN, format_args!("after {} ms", requests.drain_ms));
         }
+        self.state.end_calls();
+        self.stop_calls.cancel();
+        let limit = Instant::now() + Duration::from_millis(CLOSE_LIMIT_MS);
+        join_by(limit, &mut self.call_listeners).await;
         self.close().await;
-        calls_ended && attempts_ended
+        ended
     }
 
     /// Ends at once, as a crash would: cuts what is in flight.
@@ -44,17 +57,18 @@
         self.control.stop().await;
     }
 
-    async fn attempts_end(&self, deadline: Instant) -> bool {
+    /// Waits until neither calls that entered here nor attempts of other entries are in flight.
+    async fn calls_end(&self, limit: Deadline) -> bool {
         loop {
             let running: usize =
                 self.peer.loads().iter().map(|(_, _, l)| l.running + l.waiting).sum();
-            if running == 0 {
+            if running + self.state.calls_in_flight() == 0 {
                 return true;
             }
-            if Instant::now() >= deadline {
+            if limit.is_past(self.state.clock.now()) {
                 return false;
             }
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            tokio::time::sleep(Duration::from_millis(IDLE_CHECK_MS)).await;
         }
     }
 
