--- a/goldcresttally-admission/src/machine.rs
+++ b/goldcresttally-admission/src/machine.rs
@@ -301,10 +301,9 @@
         ahead.div_f64(limit as f64)
     }
 
-    /// Returns how long a call that came now would wait and run.
-    pub fn expected(&self, now: MonoTime, class: CallClass) -> Duration {
-        let on_time_by = Deadline::after(now, class.target);
-        self.wait_for(class.rank, on_time_by) + self.times.of(class)
+    /// Returns the usual times of all calls and of those of a class; zero while unknown.
+    pub fn usual_times(&self, class: CallClass) -> (Duration, Duration) {
+        (self.times.overall(), self.times.of(class))
     }
 
     /// Finds a place in the queue, at the cost of less urgent calls if need be.
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -44,7 +44,7 @@
         keyed: bool,
     ) -> Result<Response<CallBody>, CallError> {
         let entry = &self.entry;
-        let in_flight = InFlight::start(attempt.endpoint.clone(), self.route.rank.index);
+        let in_flight = self.in_flight(attempt);
         let mut guard = CancelGuard { entry: Arc::clone(entry), attempt: Some(attempt.clone()) };
         let req = self.request(attempt, body, keyed);
         let result = match attempt.endpoint.node == entry.state.identity.node {
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -169,15 +169,15 @@
         let all = all.ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?;
         let now = self.entry.state.clock.now();
         let random = |n| fastrand::usize(..n);
-        let rank = self.route.rank.index;
+        let asked = self.asked(now);
         let hinted = tries.take_hint().and_then(|hint| all.iter().find(|e| e.node == hint));
         if hinted.is_some() {
             self.entry.state.counters.redirects.add();
         }
         let picked = hinted
-            .or_else(|| self.entry.picker.pick(now, rank, all, tries.tried(), random))
+            .or_else(|| self.entry.picker.pick(&asked, all, tries.tried(), random))
             // All were tried: a refusal by one of them may be over by now.
-            .or_else(|| self.entry.picker.pick(now, rank, all, &[], random));
+            .or_else(|| self.entry.picker.pick(&asked, all, &[], random));
         let endpoint = picked.ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?.clone();
         tries.begin(endpoint.node);
         Ok(Attempt { id: self.entry.state.next_attempt(), endpoint })
--- a/goldcresttally-proxy/src/entry/observe.rs
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -2,11 +2,13 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
-use goldcresttally_core::Verdict;
-use goldcresttally_routing::Endpoint;
-use http::{HeaderMap, Response};
+use goldcresttally_core::{Deadline, MonoTime, Verdict};
+use goldcresttally_routing::{Asked, Endpoint, class_key};
+use http::header::CONTENT_LENGTH;
+use http::{HeaderMap, Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
 
 use super::call::{Attempt, Call};
@@ -20,18 +22,19 @@
 pub(super) struct InFlight {
     endpoint: Endpoint,
     rank: usize,
+    target: Duration,
 }
 
 impl InFlight {
-    pub fn start(endpoint: Endpoint, rank: usize) -> Self {
+    pub fn start(endpoint: Endpoint, rank: usize, target: Duration) -> Self {
         endpoint.observed.start(rank);
-        Self { endpoint, rank }
+        Self { endpoint, rank, target }
     }
 
     /// Takes the load that the peer reported.
     pub fn report(&self, state: &State, map: &HeaderMap) {
         if let Some(load) = headers::parse(map, &headers::LOAD) {
-            self.endpoint.observed.report(state.clock.now(), self.rank, load);
+            self.endpoint.observed.report(state.clock.now(), self.rank, self.target, load);
         }
     }
 }
@@ -84,8 +87,14 @@
         let now = self.entry.state.clock.now();
         let observed = &attempt.endpoint.observed;
         match result {
-            Ok(_) => {
-                observed.answered(now.since(self.started));
+            Ok(response) => {
+                match response.status() {
+                    StatusCode::INTERNAL_SERVER_ERROR | StatusCode::BAD_GATEWAY => {
+                        observed.note_outcome(true);
+                    }
+                    _ => observed.answered(),
+                }
+                self.note_size(response);
                 if let Some(throttle) = self.throttle() {
                     throttle.accepted();
                 }
@@ -112,6 +121,39 @@
     }
 }
 
+impl Call {
+    /// Takes the size of a call and its answer into the average of its class.
+    fn note_size(&self, response: &Response<CallBody>) {
+        let answer = response.body().size_hint().lower();
+        let request = headers::parse::<u64>(&self.parts.headers, &CONTENT_LENGTH).unwrap_or(0);
+        let bytes = (answer + request).min(u32::MAX.into()) as u32;
+        if let Some(limits) = self.limits() {
+            limits.bytes.average(self.class_key(), bytes);
+        }
+    }
+
+    /// Counts an attempt as in flight.
+    pub(super) fn in_flight(&self, attempt: &Attempt) -> InFlight {
+        InFlight::start(attempt.endpoint.clone(), self.route.rank.index, self.route.target)
+    }
+
+    fn class_key(&self) -> u32 {
+        class_key(self.route.rank.index, self.route.target.as_millis() as u64)
+    }
+
+    /// Says what the call asks of an endpoint.
+    pub(super) fn asked(&self, now: MonoTime) -> Asked {
+        let bytes = self.limits().and_then(|limits| limits.bytes.get(self.class_key()));
+        Asked {
+            now,
+            rank: self.route.rank.index,
+            target: self.route.target,
+            on_time_by: Deadline::after(self.started, self.route.target),
+            bytes: bytes.unwrap_or(0),
+        }
+    }
+}
+
 /// Tells whether the upstream refused a call because of its load.
 fn is_overload(error: &CallError) -> bool {
     let load = matches!(error.reason, Reason::Overloaded | Reason::Shed | Reason::Deadline);
--- a/goldcresttally-proxy/src/headers.rs
+++ b/goldcresttally-proxy/src/headers.rs
@@ -28,7 +28,7 @@
 pub const VERDICT: HeaderName = HeaderName::from_static("tally-verdict");
 /// Why a call failed.
 pub const REASON: HeaderName = HeaderName::from_static("tally-reason");
-/// Load of the upstream that answers, in thousandths of its limit.
+/// Load of the upstream that answers, as a `LoadReport`.
 pub const LOAD: HeaderName = HeaderName::from_static("tally-load");
 /// A less loaded node that may run the attempt instead.
 pub const REDIRECT: HeaderName = HeaderName::from_static("tally-redirect");
--- a/goldcresttally-proxy/src/peer/gate.rs
+++ b/goldcresttally-proxy/src/peer/gate.rs
@@ -5,9 +5,10 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use goldcresttally_admission::{
-    Action, Admission, CallId, Event, Load, Options, Outcome, Policy, Refusal,
+    Action, Admission, CallClass, CallId, Event, Load, Options, Outcome, Policy, Refusal,
 };
 use goldcresttally_core::{InstanceId, Map};
+use goldcresttally_routing::LoadReport;
 use tokio::sync::oneshot;
 
 use super::LocalUpstream;
@@ -112,6 +113,19 @@
         (inner.admission.competitors(rank), inner.admission.load().limit)
     }
 
+    /// Returns the load that a call of a class meets.
+    pub(super) fn report(&self, class: CallClass) -> LoadReport {
+        let inner = self.lock();
+        let (turn, work) = inner.admission.usual_times(class);
+        let limit = inner.admission.load().limit;
+        LoadReport {
+            free: limit as i32 - inner.admission.competitors(class.rank) as i32,
+            limit: limit as u32,
+            turn_ms: turn.as_millis() as u32,
+            work_ms: work.as_millis() as u32,
+        }
+    }
+
     /// Notes whether a call could be sent.
     pub(super) fn note_sent(&self, sent: bool) {
         if sent {
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -5,10 +5,10 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
-use goldcresttally_admission::Outcome;
+use goldcresttally_admission::{CallClass, Outcome};
 use goldcresttally_core::NodeId;
 use goldcresttally_ledger::Answer;
-use goldcresttally_routing::Picker;
+use goldcresttally_routing::{Asked, LoadReport, Picker};
 use http::request::Parts;
 use http::{Method, Response};
 use http_body_util::{BodyExt, StreamBody};
@@ -253,15 +253,17 @@
         list.iter().min_by_key(share).map(Arc::clone)
     }
 
-    /// Returns the load that a call like this one meets here, in thousandths of the limit.
-    pub(super) fn load_of(&self, ticket: &Ticket) -> usize {
+    /// Returns the load that a call like this one meets here.
+    pub(super) fn load_of(&self, ticket: &Ticket) -> LoadReport {
         let gates = self.gates.load();
-        let Some(list) = gates.get(&ticket.service) else { return 0 };
-        let (busy, limit) = list.iter().fold((0, 0), |(busy, limit), gate| {
-            let (competitors, own_limit) = gate.competitors(ticket.rank);
-            (busy + competitors, limit + own_limit)
-        });
-        busy * 1000 / limit.max(1)
+        let Some(list) = gates.get(&ticket.service) else { return LoadReport::default() };
+        let class = CallClass { rank: ticket.rank, target: ticket.target };
+        let mut sum = LoadReport::default();
+        for gate in list {
+            let own = gate.report(class);
+            sum = LoadReport { free: sum.free + own.free, limit: sum.limit + own.limit, ..own };
+        }
+        sum
     }
 
     /// Names a less loaded node that runs the service, by what this node has observed.
@@ -273,9 +275,15 @@
         }
         let endpoints = self.state.endpoints();
         let own = [self.state.identity.node];
-        let now = self.state.clock.now();
         let list = endpoints.get(&ticket.service)?;
-        let found = Picker::default().pick(now, ticket.rank, list, &own, fastrand_below)?;
+        let asked = Asked {
+            now: self.state.clock.now(),
+            rank: ticket.rank,
+            target: ticket.target,
+            on_time_by: ticket.on_time_by,
+            bytes: 0,
+        };
+        let found = Picker::default().pick(&asked, list, &own, fastrand_below)?;
         Some(found.node)
     }
 }
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -10,7 +10,7 @@
 use goldcresttally_core::{AttemptId, Deadline, Generation, Map, MonoTime, NodeId, ServiceName};
 use tokio_util::sync::CancellationToken;
 
-use goldcresttally_routing::{BudgetOptions, Endpoint, RetryBudget, Throttle};
+use goldcresttally_routing::{BudgetOptions, ClassTable, Endpoint, RetryBudget, Throttle};
 
 use crate::clock::Clock;
 use crate::conventions::Conventions;
@@ -38,6 +38,8 @@
     pub throttles: Vec<Arc<Throttle>>,
     /// Bounds retries.
     pub retries: Arc<RetryBudget>,
+    /// Usual bytes of a call and its answer, by class of call.
+    pub bytes: Arc<ClassTable>,
 }
 
 /// Retries that all nodes together may make to one service.
@@ -74,6 +76,7 @@
             EntryLimits {
                 throttles: (0..ranks).map(|i| throttle(i).unwrap_or_default()).collect(),
                 retries: held.map(|h| Arc::clone(&h.retries)).unwrap_or_default(),
+                bytes: held.map(|h| Arc::clone(&h.bytes)).unwrap_or_default(),
             }
         };
         let limits = snapshot.services().map(|s| (s.name.clone(), limits(&s.name))).collect();
--- a/goldcresttally-routing/examples/choose.rs
+++ b/goldcresttally-routing/examples/choose.rs
@@ -4,8 +4,10 @@
 
 use std::sync::Arc;
 
-use goldcresttally_core::{Generation, MonoTime, NodeId};
-use goldcresttally_routing::{Endpoint, Locality, Observed, Picker};
+use std::time::Duration;
+
+use goldcresttally_core::{Deadline, Generation, MonoTime, NodeId};
+use goldcresttally_routing::{Asked, Endpoint, Locality, Observed, Picker};
 
 fn endpoint(address: &str, locality: Locality) -> Endpoint {
     let peer = address.parse().expect("an address");
@@ -35,7 +37,10 @@
     };
     // Each call stays in flight, so the nearest endpoints fill up one after another.
     for call in 1..=6 {
-        let picked = Picker::default().pick(now, 0, &endpoints, &[], &mut random);
+        let target = Duration::from_millis(250);
+        let on_time_by = Deadline::after(now, target);
+        let asked = Asked { now, rank: 0, target, on_time_by, bytes: 2000 };
+        let picked = Picker::default().pick(&asked, &endpoints, &[], &mut random);
         let picked = picked.expect("there are endpoints");
         picked.observed.start(0);
         println!("call {call} goes to {}", picked.peer);
--- a/goldcresttally-routing/src/endpoint.rs
+++ b/goldcresttally-routing/src/endpoint.rs
@@ -2,16 +2,19 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI32, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use goldcresttally_core::{Generation, MonoTime, NodeId};
 
-/// Latency assumed of an endpoint that has not answered yet, in microseconds.
-const FIRST_LATENCY_US: u64 = 5000;
+use crate::class_table::{ClassTable, class_key};
+use crate::load::LoadReport;
 
 /// Time for which a reported load is used, in milliseconds.
-const REPORT_VALIDITY_MS: u64 = 1000;
+const REPORT_VALIDITY_MS: u64 = 1500;
+
+/// Weight of one outcome in the share of failures, in thousandths.
+const FAILURE_WEIGHT_MILLI: u32 = 60;
 
 /// How near an endpoint is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -27,9 +30,12 @@
 /// Ranks whose load is told apart; the least urgent ones share the last class.
 const RANK_CLASSES: usize = 4;
 
+/// The load last reported to calls of one rank class.
 #[derive(Debug, Default)]
 struct Reported {
-    load: AtomicU32,
+    free: AtomicI32,
+    /// Calls of this node in flight there when it was reported.
+    own: AtomicU32,
     at_us: AtomicU64,
 }
 
@@ -42,11 +48,16 @@
 pub struct Observed {
     /// By rank class.
     in_flight: [AtomicU32; RANK_CLASSES],
-    latency_us: AtomicU64,
     failures: AtomicU32,
+    /// Share of calls that failed of late, in thousandths.
+    failed_milli: AtomicU32,
     ejected_until_us: AtomicU64,
-    /// Load in thousandths of the limit by rank class, as the node beside the upstream reported it.
+    /// By rank class, as the node beside the upstream reported it.
     reported: [Reported; RANK_CLASSES],
+    limit: AtomicU32,
+    turn_ms: AtomicU32,
+    /// Usual time of a call by class, in milliseconds.
+    work_ms: ClassTable,
 }
 
 impl Observed {
@@ -56,14 +67,6 @@
         self.in_flight[..=class(rank)].iter().map(|n| n.load(Ordering::Relaxed)).sum()
     }
 
-    /// Returns the average latency, in microseconds.
-    pub fn latency_us(&self) -> u64 {
-        match self.latency_us.load(Ordering::Relaxed) {
-            0 => FIRST_LATENCY_US,
-            latency => latency,
-        }
-    }
-
     /// Notes the start of a call of `rank`.
     pub fn start(&self, rank: usize) {
         self.in_flight[class(rank)].fetch_add(1, Ordering::Relaxed);
@@ -74,38 +77,69 @@
         self.in_flight[class(rank)].fetch_sub(1, Ordering::Relaxed);
     }
 
-    /// Notes an answer that took `latency`.
-    pub fn answered(&self, latency: Duration) {
-        let sample = latency.as_micros() as u64;
-        let old = self.latency_us();
-        // Two threads may overwrite each other; an average does not mind a lost sample.
-        let new = (old * 7 + sample) / 8;
-        self.latency_us.store(new.max(1), Ordering::Relaxed);
+    /// Notes an answer.
+    pub fn answered(&self) {
         self.failures.store(0, Ordering::Relaxed);
+        self.note_outcome(false);
     }
 
     /// Notes a failure; returns how many have followed each other.
     pub fn failed(&self) -> u32 {
+        self.note_outcome(true);
         self.failures.fetch_add(1, Ordering::Relaxed) + 1
     }
 
-    /// Notes the load that the node beside the upstream reported to a call of `rank`, in
-    /// thousandths of its limit.
-    pub fn report(&self, now: MonoTime, rank: usize, load: u32) {
+    /// Notes whether the upstream itself failed a call.
+    pub fn note_outcome(&self, failed: bool) {
+        let sample = if failed { 1000 } else { 0 };
+        let held = self.failed_milli.load(Ordering::Relaxed);
+        let kept = held * (1000 - FAILURE_WEIGHT_MILLI);
+        let mean = (kept + sample * FAILURE_WEIGHT_MILLI) / 1000;
+        self.failed_milli.store(mean, Ordering::Relaxed);
+    }
+
+    /// Returns the share of calls that failed of late.
+    pub fn failed_share(&self) -> f64 {
+        f64::from(self.failed_milli.load(Ordering::Relaxed)) / 1000.0
+    }
+
+    /// Notes the load that the node beside the upstream reported to a call of `rank` and `target`.
+    pub fn report(&self, now: MonoTime, rank: usize, target: Duration, load: LoadReport) {
         let reported = &self.reported[class(rank)];
-        reported.load.store(load, Ordering::Relaxed);
+        reported.free.store(load.free, Ordering::Relaxed);
+        reported.own.store(self.in_flight(rank), Ordering::Relaxed);
         reported.at_us.store(now.0, Ordering::Relaxed);
+        self.limit.store(load.limit, Ordering::Relaxed);
+        self.turn_ms.store(load.turn_ms, Ordering::Relaxed);
+        if load.work_ms > 0 {
+            self.work_ms.set(class_key(rank, target.as_millis() as u64), load.work_ms);
+        }
     }
 
-    /// Returns the load reported to `rank` of late, in thousandths of the limit; 0 when there is
-    /// none.
-    pub fn reported_load(&self, now: MonoTime, rank: usize) -> u32 {
+    /// Returns the load that a call of `rank` would meet now: what was reported of late, and the
+    /// calls that this node has sent since; `slots` are what the upstream announced.
+    pub fn load(&self, now: MonoTime, rank: usize, slots: u32) -> LoadReport {
+        let own = self.in_flight(rank) as i32;
         let reported = &self.reported[class(rank)];
         let at = MonoTime(reported.at_us.load(Ordering::Relaxed));
-        match now.since(at) < Duration::from_millis(REPORT_VALIDITY_MS) {
-            true => reported.load.load(Ordering::Relaxed),
-            false => 0,
-        }
+        let valid = at.0 > 0 && now.since(at) < Duration::from_millis(REPORT_VALIDITY_MS);
+        let free = match valid {
+            true => {
+                let since = own - reported.own.load(Ordering::Relaxed) as i32;
+                reported.free.load(Ordering::Relaxed) - since
+            }
+            false => slots as i32 - own,
+        };
+        let limit = match self.limit.load(Ordering::Relaxed) {
+            0 => slots,
+            limit => limit,
+        };
+        LoadReport { free, limit, turn_ms: self.turn_ms.load(Ordering::Relaxed), work_ms: 0 }
+    }
+
+    /// Returns the usual time of calls of a class, in milliseconds, once it was reported.
+    pub fn work_ms(&self, key: u32) -> Option<u32> {
+        self.work_ms.get(key)
     }
 
     /// Leaves the endpoint out until `until`.
--- /dev/null
+++ b/goldcresttally-routing/src/load.rs
@@ -0,0 +1,60 @@
+//! What a node tells of the load of the upstreams beside it, with each answer.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use goldcresttally_core::errors::invalid;
+
+/// Load that a call of one class meets at the upstreams beside a node.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Slots free for the call's rank; below zero, the calls of its rank and of more urgent ones
+    /// that wait.
+    pub free: i32,
+    /// Calls that run at once.
+    pub limit: u32,
+    /// Usual time of all calls, in milliseconds; 0 while unknown.
+    pub turn_ms: u32,
+    /// Usual time of calls of this class, in milliseconds; 0 while unknown.
+    pub work_ms: u32,
+}
+
+impl LoadReport {
+    /// Returns how long a call that came now would wait.
+    pub fn wait(&self, free: i32) -> Duration {
+        if free > 0 {
+            return Duration::ZERO;
+        }
+        let turns = f64::from(1 - free) / f64::from(self.limit.max(1));
+        Duration::from_secs_f64(turns * f64::from(self.turn_ms) / 1000.0)
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { free, limit, turn_ms, work_ms } = self;
+        write!(f, "{free}/{limit}/{turn_ms}/{work_ms}")
+    }
+}
+
+impl FromStr for LoadReport {
+    type Err = goldcresttally_core::Error;
+
+    fn from_str(text: &str) -> goldcresttally_core::Result<Self> {
+        let mut parts = text.split('/');
+        let mut number = || parts.next().and_then(|n| n.parse::<i64>().ok());
+        let (Some(free), Some(limit), Some(turn), Some(work)) =
+            (number(), number(), number(), number())
+        else {
+            return invalid("load report", text, "free/limit/turn/work");
+        };
+        let positive = |n: i64| n.clamp(0, u32::MAX.into()) as u32;
+        Ok(Self {
+            free: free.clamp(i32::MIN.into(), i32::MAX.into()) as i32,
+            limit: positive(limit),
+            turn_ms: positive(turn),
+            work_ms: positive(work),
+        })
+    }
+}
--- a/goldcresttally-routing/tests/endpoint_choice.rs
+++ b/goldcresttally-routing/tests/endpoint_choice.rs
@@ -1,10 +1,11 @@
-//! The own failure domain first, with spill; tried, ejected and starting endpoints last.
+//! Calls go where they are most likely on time, to their own failure domain first; tried, ejected
+//! and starting endpoints last.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use goldcresttally_core::{Generation, MonoTime, NodeId};
-use goldcresttally_routing::{Ejection, Endpoint, Locality, Observed, Picker};
+use goldcresttally_core::{Deadline, Generation, MonoTime, NodeId};
+use goldcresttally_routing::{Asked, Ejection, Endpoint, LoadReport, Locality, Observed, Picker};
 
 const NOW: MonoTime = MonoTime::from_millis(60_000);
 
@@ -22,12 +23,27 @@
     }
 }
 
+const TARGET: Duration = Duration::from_millis(250);
+
+fn asked(now: MonoTime) -> Asked {
+    let on_time_by = Deadline::after(now, TARGET);
+    Asked { now, rank: 0, target: TARGET, on_time_by, bytes: 500 }
+}
+
 fn pick(endpoints: &[Endpoint], tried: &[NodeId]) -> Option<u16> {
+    pick_for(&asked(NOW), endpoints, tried)
+}
+
+fn pick_for(asked: &Asked, endpoints: &[Endpoint], tried: &[NodeId]) -> Option<u16> {
     let rng = fastrand_like(7);
-    let picked = Picker::default().pick(NOW, 0, endpoints, tried, rng);
+    let picked = Picker::default().pick(asked, endpoints, tried, rng);
     picked.map(|e| e.peer.port())
 }
 
+fn full(waiting: i32) -> LoadReport {
+    LoadReport { free: -waiting, limit: 2, turn_ms: 100, work_ms: 100 }
+}
+
 /// Returns a small generator of numbers below a bound.
 fn fastrand_like(mut seed: usize) -> impl FnMut(usize) -> usize {
     move |n| {
@@ -61,12 +77,61 @@
 #[test]
 fn reported_load_is_believed_briefly() {
     let list = [endpoint(1, Locality::Domain), endpoint(2, Locality::Region)];
-    list[0].observed.report(NOW, 0, 5000);
+    list[0].observed.report(NOW, 0, TARGET, full(8));
     assert_eq!(pick(&list, &[]), Some(2));
     let later = NOW + Duration::from_secs(2);
-    let rng = fastrand_like(1);
-    let picked = Picker::default().pick(later, 0, &list, &[], rng);
-    assert_eq!(picked.map(|e| e.peer.port()), Some(1));
+    assert_eq!(pick_for(&asked(later), &list, &[]), Some(1));
+}
+
+#[test]
+fn own_calls_since_a_report_count() {
+    let list = [endpoint(1, Locality::Domain), endpoint(2, Locality::Domain)];
+    let load = LoadReport { free: 2, ..full(0) };
+    list[0].observed.report(NOW, 0, TARGET, load);
+    list[1].observed.report(NOW, 0, TARGET, LoadReport { free: 1, ..full(0) });
+    assert_eq!(pick(&list, &[]), Some(1));
+    for _ in 0..4 {
+        list[0].observed.start(0);
+    }
+    assert_eq!(pick(&list, &[]), Some(2));
+}
+
+#[test]
+fn slow_upstream_is_avoided() {
+    let list = [endpoint(1, Locality::Domain), endpoint(2, Locality::Domain)];
+    list[0].observed.report(NOW, 0, TARGET, LoadReport { free: 2, work_ms: 300, ..full(0) });
+    list[1].observed.report(NOW, 0, TARGET, LoadReport { free: 1, work_ms: 60, ..full(0) });
+    assert_eq!(pick(&list, &[]), Some(2));
+}
+
+#[test]
+fn large_calls_stay_near() {
+    let list = [endpoint(1, Locality::Domain), endpoint(2, Locality::Region)];
+    list[0].observed.report(NOW, 0, TARGET, full(1));
+    list[1].observed.report(NOW, 0, TARGET, LoadReport { free: 2, ..full(0) });
+    let large = Asked { bytes: 9000, ..asked(NOW) };
+    assert_eq!(pick_for(&large, &list, &[]), Some(1));
+    let small = Asked { bytes: 400, ..asked(NOW) };
+    assert_eq!(pick_for(&small, &list, &[]), Some(2));
+}
+
+#[test]
+fn failing_upstream_is_avoided() {
+    let list = [endpoint(1, Locality::Domain), endpoint(2, Locality::Region)];
+    for _ in 0..20 {
+        list[0].observed.note_outcome(true);
+    }
+    assert_eq!(pick(&list, &[]), Some(2));
+}
+
+#[test]
+fn unreachable_is_left_out_whatever_the_share() {
+    let list: Vec<_> = (1..=4).map(|n| endpoint(n, Locality::Region)).collect();
+    let ejection = Ejection::default();
+    for endpoint in &list[..3] {
+        ejection.on_unreachable(NOW, endpoint);
+    }
+    assert_eq!(pick(&list, &[]), Some(4));
 }
 
 #[test]
