--- a/goldcresttally-proxy/src/entry/observe.rs
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -99,6 +99,9 @@
                     throttle.accepted();
                 }
             }
+            // The node beside it sends an upstream no more than it runs at once, so one that turns
+            // calls away all the same is failing.
+            Err(error) if error.reason == Reason::Shed => observed.note_outcome(true),
             Err(error) if is_overload(error) => {
                 if let Some(throttle) = self.throttle() {
                     throttle.refused();
@@ -156,7 +159,7 @@
 
 /// Tells whether the upstream refused a call because of its load.
 fn is_overload(error: &CallError) -> bool {
-    let load = matches!(error.reason, Reason::Overloaded | Reason::Shed | Reason::Deadline);
+    let load = matches!(error.reason, Reason::Overloaded | Reason::Deadline);
     load && error.verdict == Verdict::NotRun
 }
 
