--- a/goldcresttallyd/src/control/join.rs
+++ b/goldcresttallyd/src/control/join.rs
@@ -53,9 +53,8 @@
             }
             let alone = self.machines.borrow().membership.members().next().is_none();
             if alone && let Ok(nodes) = directory.list().await {
-                // With nobody else on the list there is nobody to join.
-                let others = nodes.iter().any(|n| *n != own);
-                self.joined.set(self.joined.get() || !others);
+                // With nobody else on the list there is nobody to join yet.
+                self.joined.set(nodes.iter().all(|n| *n == own));
                 *self.listed.borrow_mut() = nodes;
             }
             if enlisted && !alone {
