--- a/goldcresttally-proxy/src/conventions.rs
+++ b/goldcresttally-proxy/src/conventions.rs
@@ -31,6 +31,12 @@
 }
 
 impl Conventions {
+    /// Returns the caller's id for a call; `-` where callers give none.
+    pub(crate) fn id_of<'a>(&self, map: &'a HeaderMap) -> &'a str {
+        let id = self.call_id.as_ref().and_then(|name| map.get(name));
+        id.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
     /// Returns the text of `Retry-After`, in seconds, rounded up.
     pub(crate) fn retry_after(&self, after: Duration) -> String {
         match self.fractional_retry_after {
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -14,6 +14,7 @@
 
 use super::Entry;
 use crate::body::{CallBody, Replay, boxed};
+use crate::call_log::{CallEvent, CallInfo};
 use crate::errors::{CallError, Reason};
 use crate::headers;
 use crate::state::{EntryLimits, Serving};
@@ -96,8 +97,12 @@
         Ok((call, body))
     }
 
-    /// Runs the call to its end.
-    pub async fn run(&self, body: CallBody) -> Result<Response<CallBody>, CallError> {
+    /// Runs the call to its end; `tries` tells what was tried.
+    pub async fn run(
+        &self,
+        body: CallBody,
+        tries: &mut Tries,
+    ) -> Result<Response<CallBody>, CallError> {
         self.check_limits()?;
         let limit = self.serving.snapshot.limits().max_body_bytes;
         let announced = body.size_hint().lower();
@@ -114,14 +119,34 @@
             Ok(Err(_)) | Err(_) => return Err(CallError::not_run(Reason::BadRequest)),
         };
         match &self.key {
-            Some(key) => self.run_keyed(key, &body).await,
-            None => self.run_unkeyed(&body).await,
+            Some(key) => self.run_keyed(key, &body, tries).await,
+            None => self.run_unkeyed(&body, tries).await,
+        }
+    }
+
+    /// Says what is known of the call.
+    pub fn info(&self) -> CallInfo<'_> {
+        let now = self.entry.state.clock.now();
+        CallInfo {
+            id: self.entry.state.conventions.id_of(&self.parts.headers),
+            service: Some(&self.service.name),
+            version: self.serving.snapshot.version(),
+            age: now.since(self.started),
+            left: self.deadline.remaining(now),
         }
     }
 
-    async fn run_unkeyed(&self, body: &Replay<CallBody>) -> Result<Response<CallBody>, CallError> {
-        let mut tries = Tries::default();
-        let result = self.try_until_answered(&mut tries, body).await;
+    /// Notes a decision about the call.
+    pub fn note(&self, event: CallEvent) {
+        self.entry.state.call_log.note(&self.info(), event);
+    }
+
+    async fn run_unkeyed(
+        &self,
+        body: &Replay<CallBody>,
+        tries: &mut Tries,
+    ) -> Result<Response<CallBody>, CallError> {
+        let result = self.try_until_answered(tries, body).await;
         // A later attempt that did not run says nothing about an earlier one.
         result.map_err(|e| CallError { verdict: e.verdict.max(tries.verdict()), ..e })
     }
@@ -210,6 +235,8 @@
             return Err(error.clone());
         }
         self.entry.state.counters.retries.add();
+        let (node, verdict) = (tries.tried().last().copied(), error.verdict);
+        self.note(CallEvent::Retried { node, verdict, reason: error.reason });
         let jitter = Duration::from_millis(fastrand::u64(0..=RETRY_JITTER_MS));
         tokio::time::sleep(jitter).await;
         Ok(())
--- a/goldcresttally-proxy/src/entry/keyed.rs
+++ b/goldcresttally-proxy/src/entry/keyed.rs
@@ -52,6 +52,7 @@
         &self,
         key: &HeaderValue,
         body: &Replay<CallBody>,
+        tries: &mut Tries,
     ) -> Result<Response<CallBody>, CallError> {
         // The key means nothing without the whole of what it stands for.
         if !body.is_whole() {
@@ -59,10 +60,9 @@
         }
         let fingerprint = self.fingerprint(body);
         let row = self.claim_row(key);
-        let mut tries = Tries::default();
         let mut revision = 0;
         loop {
-            let attempt = self.next_attempt(&mut tries)?;
+            let attempt = self.next_attempt(tries)?;
             let claim = claim_of(&attempt, fingerprint);
             let held = match self.claim(&row, revision, &claim).await {
                 Ok(Claiming::Held(held)) => held,
@@ -80,7 +80,7 @@
                 Err(error) => {
                     revision = held.revision;
                     let retry = match error.verdict {
-                        Verdict::NotRun => self.check_retry(&mut tries, &error, body).await,
+                        Verdict::NotRun => self.check_retry(tries, &error, body).await,
                         // Only the attempt's node can tell; a repeat asks it.
                         Verdict::MayHaveRun | Verdict::Ran => return Err(error),
                     };
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -11,12 +11,13 @@
 
 use goldcresttally_core::Verdict;
 use goldcresttally_report::Recorder;
-use goldcresttally_routing::{Ejection, Picker};
+use goldcresttally_routing::{Ejection, Picker, Tries};
 use http::header::{CONNECTION, RETRY_AFTER};
 use http::{Request, Response, StatusCode};
 use tokio_util::task::TaskTracker;
 
 use crate::body::CallBody;
+use crate::call_log::{CallEvent, CallInfo};
 use crate::claims::ClaimStore;
 use crate::errors::{CallError, Reason};
 use crate::headers;
@@ -93,12 +94,23 @@
     async fn answer(self: Arc<Self>, req: Request<CallBody>) -> Response<CallBody> {
         self.state.counters.calls.add();
         let started = self.state.clock.now();
+        let id = self.state.conventions.id_of(req.headers()).to_owned();
         let (call, body) = match Call::route(&self, req, started) {
             Ok(routed) => routed,
-            Err(error) => return self.failed(error),
+            Err(error) => {
+                let call = CallInfo {
+                    id: &id,
+                    service: None,
+                    version: self.state.serving().snapshot.version(),
+                    age: Duration::ZERO,
+                    left: Duration::ZERO,
+                };
+                return self.failed(&call, error, 0);
+            }
         };
+        let mut tries = Tries::default();
         let result = tokio::select! {
-            result = call.run(body) => result,
+            result = call.run(body, &mut tries) => result,
             () = self.state.ending() => Err(CallError::may_have_run(Reason::Deadline)),
         };
         let latency = self.state.clock.now().since(started);
@@ -106,13 +118,17 @@
         match result {
             Ok(response) => {
                 self.state.counters.answered.add();
+                if response.status().is_server_error() {
+                    let (status, node) = (response.status(), tries.tried().last().copied());
+                    call.note(CallEvent::UpstreamFailed { status, node });
+                }
                 response
             }
-            Err(error) => self.failed(error),
+            Err(error) => self.failed(&call.info(), error, tries.tried().len()),
         }
     }
 
-    fn failed(&self, error: CallError) -> Response<CallBody> {
+    fn failed(&self, call: &CallInfo<'_>, error: CallError, attempts: usize) -> Response<CallBody> {
         let counters = &self.state.counters;
         match error.verdict {
             Verdict::NotRun => counters.not_run.add(),
@@ -120,6 +136,8 @@
             Verdict::Ran => counters.ran_unanswered.add(),
         }
         let status = error.status();
+        let (verdict, reason) = (error.verdict, error.reason);
+        self.state.call_log.note(call, CallEvent::Failed { status, verdict, reason, attempts });
         let after = error.retry_after.unwrap_or_else(|| usual_retry_after(error.reason));
         let mut response = error.into_response();
         response.headers_mut().remove(headers::RETRY_AFTER_MS);
--- a/goldcresttally-proxy/src/lib.rs
+++ b/goldcresttally-proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`peer`]: admits a call beside its upstream, runs it, and remembers what became of it.
 //! * [`link`]: HTTP/2 connections between nodes.
 //! * [`state`]: what the request path reads: snapshot and endpoints, swapped whole.
+//! * [`call_log`]: the border to the log of calls.
 //! * [`claims`]: the border to whoever writes claims on idempotency keys.
 //! * [`transport`]: the border to the network.
 //! * [`server`]: accepts connections and finishes what is in flight when it stops.
@@ -13,6 +14,7 @@
 //! * [`headers`], [`body`], [`clock`], [`counters`], [`errors`]: shared parts.
 
 pub mod body;
+pub mod call_log;
 pub mod claims;
 pub mod clock;
 pub mod conventions;
@@ -29,6 +31,7 @@
 pub mod workers;
 
 pub use body::CallBody;
+pub use call_log::{CallEvent, CallInfo, CallLog};
 pub use clock::Clock;
 pub use conventions::Conventions;
 pub use entry::Entry;
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -175,7 +175,14 @@
         // The attempt goes on when the connection that brought it breaks: its entry node will ask
         // for the outcome on another one.
         let (tx, rx) = tokio::sync::oneshot::channel();
-        let run = run::Run { peer: Arc::clone(self), ticket, cancelled, answer: Some(tx) };
+        let run = run::Run {
+            peer: Arc::clone(self),
+            ticket,
+            call_id: self.state.conventions.id_of(&parts.headers).to_owned(),
+            began: self.state.clock.now(),
+            cancelled,
+            answer: Some(tx),
+        };
         let run = Detaching::new(run.run(parts, body), self.tasks.clone());
         run.until(rx)
             .await
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use goldcresttally_admission::{CallClass, Outcome};
-use goldcresttally_core::NodeId;
+use goldcresttally_core::{MonoTime, NodeId, Verdict};
 use goldcresttally_ledger::Answer;
 use goldcresttally_routing::{Asked, LoadReport, Picker};
 use http::request::Parts;
@@ -22,6 +22,7 @@
 use super::upstream::{Connection, UpstreamError};
 use super::{Peer, Replay};
 use crate::body::{BoxError, CallBody, boxed, full, read_up_to_limit};
+use crate::call_log::{CallEvent, CallInfo};
 use crate::errors::{CallError, Reason};
 use crate::headers;
 
@@ -35,6 +36,10 @@
 pub(super) struct Run {
     pub peer: Arc<Peer>,
     pub ticket: Ticket,
+    /// The caller's id for the call, for the log.
+    pub call_id: String,
+    /// When the attempt came.
+    pub began: MonoTime,
     pub cancelled: CancellationToken,
     pub answer: Option<oneshot::Sender<Response<CallBody>>>,
 }
@@ -215,8 +220,25 @@
         }
     }
 
+    /// Notes that the attempt ended without an answer that is passed on.
+    fn note(&self, verdict: Verdict, reason: Reason) {
+        let state = &self.peer.state;
+        let call = CallInfo {
+            id: &self.call_id,
+            service: Some(&self.ticket.service),
+            version: state.serving().snapshot.version(),
+            age: state.clock.now().since(self.began),
+            left: self.ticket.deadline.remaining(state.clock.now()),
+        };
+        let load = self.peer.loads().iter().fold((0, 0), |(running, waiting), (_, _, load)| {
+            (running + load.running, waiting + load.waiting)
+        });
+        state.call_log.note(&call, CallEvent::AttemptEnded { verdict, reason, load });
+    }
+
     fn refuse(&mut self, mut error: CallError) {
         self.peer.attempts.not_run(self.ticket.attempt);
+        self.note(error.verdict, error.reason);
         if matches!(error.reason, Reason::Overloaded | Reason::Draining | Reason::Shed) {
             error.redirect = self.peer.redirect_hint(&self.ticket);
         }
@@ -228,11 +250,13 @@
 
     fn abandon(&mut self, reason: Reason) {
         self.peer.attempts.abandoned(self.ticket.attempt);
+        self.note(Verdict::MayHaveRun, reason);
         self.send(CallError::may_have_run(reason).into_response());
     }
 
     fn bad_answer(&mut self) {
         self.peer.attempts.done(self.ticket.attempt, None);
+        self.note(Verdict::Ran, Reason::BadAnswer);
         self.send(CallError::ran(Reason::BadAnswer).into_response());
     }
 }
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -12,6 +12,7 @@
 
 use goldcresttally_routing::{BudgetOptions, ClassTable, Endpoint, RetryBudget, Throttle};
 
+use crate::call_log::CallLog;
 use crate::clock::Clock;
 use crate::conventions::Conventions;
 use crate::counters::Counters;
@@ -105,6 +106,8 @@
     pub counters: Counters,
     /// What callers and upstreams agree on.
     pub conventions: Conventions,
+    /// Takes what is decided about calls.
+    pub call_log: Arc<dyn CallLog>,
     allowance: ArcSwap<RetryAllowance>,
     /// The most members seen at once, this node included.
     members: AtomicUsize,
@@ -123,8 +126,14 @@
 
 impl State {
     /// Returns the state of a node that serves nothing yet.
-    pub fn new(identity: Identity, clock: Clock, conventions: Conventions) -> Self {
+    pub fn new(
+        identity: Identity,
+        clock: Clock,
+        conventions: Conventions,
+        call_log: Arc<dyn CallLog>,
+    ) -> Self {
         Self {
+            call_log,
             identity,
             clock,
             conventions,
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -1,7 +1,11 @@
 //! Numbered log events; `docs/EVENTS.md` has the catalogue.
 
 use std::fmt;
+use std::sync::{LazyLock, Mutex, PoisonError};
 
+use goldcresttally_core::Map;
+use goldcresttally_proxy::clock::wall_ms;
+use goldcresttally_proxy::{CallEvent, CallInfo, CallLog};
 use log::Level;
 
 /// A kind of event.
@@ -61,9 +65,87 @@
     CONTROL_CLOSED = 1601 Debug "control connection closed";
     CONTROL_SILENT = 1602 Warn "control connection silent: closed";
     METRICS_FAILED = 1701 Warn "metrics could not be sent";
+    CALL_FAILED = 2001 Info "call ended without an upstream's answer";
+    CALL_UPSTREAM_FAILED = 2002 Info "call ended with an upstream's failure";
+    CALL_RETRIED = 2003 Info "attempt failed: another one is made";
+    ATTEMPT_ENDED = 2004 Info "attempt ended beside its upstream without an answer";
 }
 
-/// Writes an event to the log.
+/// Lines of one kind in one window; more are counted and left out.
+const LINES_PER_WINDOW: u32 = 200;
+
+/// The window, in milliseconds.
+const WINDOW_MS: u64 = 10_000;
+
+/// Bounds the lines of one kind of event.
+#[derive(Debug, Default)]
+pub struct LineLimit {
+    window: u64,
+    lines: u32,
+    left_out: u32,
+}
+
+/// Whether a line is written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Line {
+    /// It is, after this many that were not.
+    Write(u32),
+    /// It is left out.
+    LeaveOut,
+}
+
+impl LineLimit {
+    /// Decides on one line at `now_ms`, in milliseconds since some origin.
+    pub fn on_line(&mut self, now_ms: u64) -> Line {
+        let window = now_ms / WINDOW_MS;
+        if window != self.window {
+            self.window = window;
+            self.lines = 0;
+        }
+        if self.lines >= LINES_PER_WINDOW {
+            self.left_out += 1;
+            return Line::LeaveOut;
+        }
+        self.lines += 1;
+        Line::Write(std::mem::take(&mut self.left_out))
+    }
+}
+
+static LIMITS: LazyLock<Mutex<Map<u16, LineLimit>>> = LazyLock::new(Mutex::default);
+
+/// Writes an event to the log, unless there were too many of its kind of late.
 pub fn emit(kind: EventKind, details: fmt::Arguments<'_>) {
-    log::log!(target: "goldcresttally", kind.level, "E{} {}: {details}", kind.number, kind.title);
+    if !log::log_enabled!(target: "goldcresttally", kind.level) {
+        return;
+    }
+    let line = {
+        let mut limits = LIMITS.lock().unwrap_or_else(PoisonError::into_inner);
+        limits.entry(kind.number).or_default().on_line(wall_ms())
+    };
+    let EventKind { number, level, title } = kind;
+    match line {
+        Line::LeaveOut => {}
+        Line::Write(0) => {
+            log::log!(target: "goldcresttally", level, "E{number} {title}: {details}")
+        }
+        Line::Write(n) => {
+            log::log!(target: "goldcresttally", level, "E{number} {title}: {details} left_out={n}");
+        }
+    }
+}
+
+/// Writes decisions about calls to the log.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EventLog;
+
+impl CallLog for EventLog {
+    fn note(&self, call: &CallInfo<'_>, event: CallEvent) {
+        let kind = match event {
+            CallEvent::Failed { .. } => CALL_FAILED,
+            CallEvent::UpstreamFailed { .. } => CALL_UPSTREAM_FAILED,
+            CallEvent::Retried { .. } => CALL_RETRIED,
+            CallEvent::AttemptEnded { .. } => ATTEMPT_ENDED,
+        };
+        emit(kind, format_args!("{call} {event}"));
+    }
 }
--- a/goldcresttallyd/src/lib.rs
+++ b/goldcresttallyd/src/lib.rs
@@ -6,12 +6,14 @@
 //! * [`control`]: the control thread; membership, distribution and claims.
 //! * [`operator`]: the HTTP interface for operators and upstreams.
 //! * [`metrics`]: counters to a StatsD address.
+//! * [`metrics_text`]: counters and histograms as text.
 //! * [`logging`]: sets up the log.
 
 pub mod control;
 pub mod events;
 pub mod logging;
 pub mod metrics;
+pub mod metrics_text;
 pub mod node;
 pub mod operator;
 pub mod settings;
--- a/goldcresttallyd/src/logging.rs
+++ b/goldcresttallyd/src/logging.rs
@@ -11,7 +11,7 @@
 /// One line per event: time, level and text.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
 
-/// Sends the log where the settings say; standard error when no file is named.
+/// Sends the log where the settings say; standard output when no file is named.
 pub fn init(settings: &LogSettings) -> Result<(), String> {
     let encoder = || Box::new(PatternEncoder::new(PATTERN));
     let appender = if let Some(path) = &settings.file {
@@ -19,7 +19,7 @@
         let file = file.map_err(|e| format!("log.file {path}: {e}"))?;
         Appender::builder().build("main", Box::new(file))
     } else {
-        let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder());
+        let console = ConsoleAppender::builder().target(Target::Stdout).encoder(encoder());
         Appender::builder().build("main", Box::new(console.build()))
     };
     let level: LevelFilter = settings.level.into();
--- /dev/null
+++ b/goldcresttallyd/src/metrics_text.rs
@@ -0,0 +1,68 @@
+//! Counters and latency histograms as text, one figure a line.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use axum::Router;
+use axum::routing::get;
+use goldcresttally_proxy::Peer;
+use goldcresttally_report::Recorder;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Path at which the text is served.
+pub const PATH: &str = "/metrics";
+
+/// Quantiles that are told of each latency histogram.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
+
+/// Serves the text at `address` until `stop`.
+pub async fn serve(
+    address: SocketAddr,
+    peer: Arc<Peer>,
+    recorder: Arc<Recorder>,
+    stop: CancellationToken,
+) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    let handler = move || async move { render(&peer, &recorder) };
+    let served = axum::serve(listener, Router::new().route(PATH, get(handler)));
+    tokio::select! {
+        result = served.into_future() => result,
+        () = stop.cancelled() => Ok(()),
+    }
+}
+
+/// Writes the figures of a node.
+pub fn render(peer: &Peer, recorder: &Recorder) -> String {
+    let mut text = String::new();
+    let mut line = |name: &str, labels: &str, value: f64| {
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "goldcresttally_{name}{labels} {value}");
+    };
+    let state = peer.state();
+    for (name, value) in state.counters.read() {
+        line(&format!("{name}_total"), "", value as f64);
+    }
+    line("version_in_force", "", state.serving().snapshot.version().0 as f64);
+    line("ready", "", f64::from(u8::from(state.is_ready() && !state.is_leaving())));
+    line("calls_in_flight", "", state.calls_in_flight() as f64);
+    line("ledger_entries", "", peer.ledger_size().0 as f64);
+    for (service, _, load) in peer.loads() {
+        let labels = format!("{{service=\"{service}\"}}");
+        line("upstream_running", &labels, load.running as f64);
+        line("upstream_waiting", &labels, load.waiting as f64);
+        line("upstream_limit", &labels, load.limit as f64);
+    }
+    for series in recorder.summary().series() {
+        let labels = |more: &str| {
+            format!("{{service=\"{}\",rank=\"{}\"{more}}}", series.service, series.rank)
+        };
+        line("latency_count", &labels(""), series.latency_us.len() as f64);
+        for quantile in QUANTILES {
+            let ms = series.latency_us.value_at_quantile(quantile) as f64 / 1000.0;
+            line("latency_ms", &labels(&format!(",quantile=\"{quantile}\"")), ms);
+        }
+    }
+    text
+}
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -27,6 +27,7 @@
 
 use crate::control::{self, ControlThread, KeeperClient};
 use crate::events::{self, emit};
+use crate::metrics_text;
 use crate::operator::{self, Operator};
 use crate::settings::Settings;
 
@@ -93,7 +94,9 @@
         let generation = clock::wall_ms().max(deps.after_generation.next().0);
         let generation = Generation(generation);
         let identity = Identity { node: id, peer: settings.node.peer, generation };
-        let state = Arc::new(State::new(identity, Clock::start(), settings.conventions()));
+        let call_log = Arc::new(events::EventLog);
+        let state = State::new(identity, Clock::start(), settings.conventions(), call_log);
+        let state = Arc::new(state);
         state.set_allowance(settings.retry_allowance());
         let tasks = TaskTracker::new();
         let transport = deps
@@ -183,6 +186,16 @@
         self.listeners.push(tokio::spawn(serve));
         let serve = operator::serve(operators, operator, stop.clone());
         self.listeners.push(tokio::spawn(serve));
+        if let Some(address) = self.settings.node.metrics {
+            let (peer, recorder) = (Arc::clone(&self.peer), Arc::clone(&self.recorder));
+            let stop = stop.clone();
+            self.listeners.push(tokio::spawn(async move {
+                let served = metrics_text::serve(address, peer, recorder, stop).await;
+                if let Err(e) = served {
+                    emit(events::METRICS_FAILED, format_args!("{address}: {e}"));
+                }
+            }));
+        }
         if let Some(metrics) = self.settings.metrics.clone() {
             let run = crate::metrics::run(metrics, Arc::clone(&self.peer), stop.clone());
             self.listeners.push(tokio::spawn(run));
--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -53,6 +53,9 @@
     pub calls: SocketAddr,
     /// Listens for operators and upstreams.
     pub operator: SocketAddr,
+    /// Serves metrics as text at `/metrics`; nothing when absent.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// The failure domain.
     pub domain: DomainId,
     /// The region.
@@ -223,7 +226,7 @@
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LogSettings {
-    /// The file; standard error when absent.
+    /// The file; standard output when absent.
     pub file: Option<Arc<str>>,
     /// The least level that is written.
     pub level: LogLevel,
