Groups of nodes that formed apart meet through the directory

Cause: a node that knew anybody never looked for others again. Ruled out: leases, floors. Test finding_nodes.rs groups_that_formed_apart fails before and passes after.

--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -160,7 +160,7 @@
     async fn run(self: &Rc<Self>, listener: TcpListener, mut commands: mpsc::Receiver<Command>) {
         let accept = server::accept(Rc::clone(self), listener);
         self.tasks.spawn_local(accept);
-        self.tasks.spawn_local(Rc::clone(self).enlist());
+        self.tasks.spawn_local(Rc::clone(self).keep_listed());
         let mut tick = tokio::time::interval(Duration::from_millis(TICK_MS));
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut buf = vec![0; DATAGRAM_BUFFER_BYTES];
--- a/goldcresttallyd/src/control/join.rs
+++ b/goldcresttallyd/src/control/join.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use goldcresttally_core::NodeId;
+use goldcresttally_core::{Deadline, NodeId};
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership as members;
 
@@ -14,6 +14,13 @@
 /// which a node that starts is to be found by others.
 const DIRECTORY_RETRY_MS: u64 = 500;
 
+/// Usual wait before the directory is looked at again, in milliseconds; one node of each domain
+/// does, so it costs a tenth of a read a second and domain.
+const DIRECTORY_IDLE_MS: u64 = 8000;
+
+/// Interval at which a node puts itself on the list again: another one may have taken it off.
+const RELIST_INTERVAL: Duration = Duration::from_secs(60);
+
 impl Control {
     /// Tries a seed when an attempt is due, or any member while the floor is not known yet.
     pub(super) fn join_if_due(self: &Rc<Self>) {
@@ -38,36 +45,75 @@
         self.tasks.spawn_local(async move { control.join(seed).await });
     }
 
-    /// Puts this node on the directory's list, and reads the list while nobody is known.
-    pub(super) async fn enlist(self: Rc<Self>) {
+    /// Keeps this node on the directory's list, and joins nodes on it that this one does not know:
+    /// groups that formed apart, as after a loss of power everywhere, do not find each other
+    /// otherwise.
+    pub(super) async fn keep_listed(self: Rc<Self>) {
         let Some(directory) = self.directory.clone() else { return };
         let own = self.machines.borrow().membership.own().id;
-        let mut enlisted = false;
+        let mut add_by = Deadline(self.now());
+        let mut strangers_seen = 0;
         loop {
-            if !enlisted {
-                let added = directory.add(own).await;
-                enlisted = added.is_ok();
-                if let Err(e) = added {
-                    emit(events::DIRECTORY_FAILED, format_args!("{e}"));
+            if add_by.is_past(self.now()) {
+                match directory.add(own).await {
+                    Ok(()) => add_by = Deadline::after(self.now(), RELIST_INTERVAL),
+                    Err(e) => emit(events::DIRECTORY_FAILED, format_args!("{e}")),
                 }
             }
-            let alone = self.machines.borrow().membership.members().next().is_none();
-            if alone && let Ok(nodes) = directory.list().await {
-                // With nobody else on the list there is nobody to join yet.
-                self.joined.set(nodes.iter().all(|n| *n == own));
-                *self.listed.borrow_mut() = nodes;
-            }
-            if enlisted && !alone {
-                return;
+            let listed = add_by.remaining(self.now()) > Duration::ZERO;
+            if self.looks_for_others()
+                && let Ok(nodes) = directory.list().await
+            {
+                let found = self.meet_strangers(nodes).await;
+                strangers_seen = if found { strangers_seen + 1 } else { 0 };
             }
-            let wait = DIRECTORY_RETRY_MS + fastrand::u64(0..DIRECTORY_RETRY_MS);
+            let urgent = !listed || self.is_alone() || strangers_seen > 0;
+            let wait_ms = match urgent {
+                true => (DIRECTORY_RETRY_MS << strangers_seen.min(4)).min(DIRECTORY_IDLE_MS),
+                false => DIRECTORY_IDLE_MS,
+            };
+            let wait = Duration::from_millis(wait_ms / 2 + fastrand::u64(0..wait_ms));
             tokio::select! {
-                () = tokio::time::sleep(Duration::from_millis(wait)) => {}
+                () = tokio::time::sleep(wait) => {}
                 () = self.stop.cancelled() => return,
             }
         }
     }
 
+    fn is_alone(&self) -> bool {
+        self.machines.borrow().membership.members().next().is_none()
+    }
+
+    /// Tells whether this node looks for others on behalf of those of its domain that it knows.
+    fn looks_for_others(&self) -> bool {
+        let machines = self.machines.borrow();
+        let own = machines.membership.own();
+        let mut near = machines.membership.members().filter(|r| r.domain == own.domain);
+        near.all(|r| own.id < r.id)
+    }
+
+    /// Joins through a listed node that is no member here; returns whether there is one.
+    async fn meet_strangers(self: &Rc<Self>, nodes: Vec<NodeId>) -> bool {
+        let strangers: Vec<NodeId> = {
+            let machines = self.machines.borrow();
+            let membership = &machines.membership;
+            let known = |id: &NodeId| {
+                *id == membership.own().id || membership.members().any(|r| r.id == *id)
+            };
+            nodes.iter().copied().filter(|id| !known(id)).collect()
+        };
+        // With nobody else on the list there is nobody to join yet.
+        if self.is_alone() {
+            self.joined.set(strangers.is_empty());
+        }
+        *self.listed.borrow_mut() = nodes;
+        let Some(stranger) = fastrand::choice(&strangers) else { return false };
+        if !self.joining.replace(true) {
+            Rc::clone(self).join(*stranger).await;
+        }
+        true
+    }
+
     async fn join(self: Rc<Self>, seed: NodeId) {
         let record = self.machines.borrow().membership.own().clone();
         let result = self.connections.join(seed, &record).await;
@@ -92,6 +138,8 @@
                 }
                 let (from, version) = (seed, joined.version);
                 self.on_distribution(distribution::Event::PeerVersion { from, version });
+                // The other's group learns of this node's group too.
+                self.spawn_sync(seed);
             }
             Ok(None) => self.machines.borrow_mut().pacer.failed(self.now()),
             Err(e) => {
