--- a/goldcresttallyd/src/control/join.rs
+++ b/goldcresttallyd/src/control/join.rs
@@ -19,7 +19,7 @@
 const DIRECTORY_IDLE_MS: u64 = 8000;
 
 /// Interval at which a node puts itself on the list again: another one may have taken it off.
-const RELIST_INTERVAL: Duration = Duration::from_secs(60);
+const RELIST_INTERVAL: Duration = Duration::from_mins(1);
 
 impl Control {
     /// Tries a seed when an attempt is due, or any member while the floor is not known yet.
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -126,7 +126,7 @@
     match line {
         Line::LeaveOut => {}
         Line::Write(0) => {
-            log::log!(target: "goldcresttally", level, "E{number} {title}: {details}")
+            log::log!(target: "goldcresttally", level, "E{number} {title}: {details}");
         }
         Line::Write(n) => {
             log::log!(target: "goldcresttally", level, "E{number} {title}: {details} left_out={n}");
