--- a/goldcresttally-admission/src/queue.rs
+++ b/goldcresttally-admission/src/queue.rs
@@ -5,7 +5,7 @@
 
 use goldcresttally_core::{Deadline, MonoTime};
 
-use crate::machine::CallId;
+use crate::event::CallId;
 
 /// Time after a call of a more urgent rank for which a slot is kept free for the next one, in
 /// milliseconds.
--- /dev/null
+++ b/goldcresttally-membership/tests/upstream_processes.rs
@@ -0,0 +1,73 @@
+//! Processes that run in turn at one address: what is late says nothing of the one that runs.
+
+use std::time::Duration;
+
+use goldcresttally_core::{Generation, MonoTime};
+use goldcresttally_membership::{
+    Announced, Announcement, Registry, UpstreamProcess, UpstreamState,
+};
+
+const NOW: MonoTime = MonoTime::from_millis(1000);
+
+fn says(instance: &str, generation: u64, sequence: u64, state: UpstreamState) -> Announcement {
+    Announcement {
+        service: "booking".parse().unwrap(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        slots: 4,
+        state,
+        process: Some(UpstreamProcess {
+            instance: instance.parse().unwrap(),
+            generation: Generation(generation),
+            sequence,
+        }),
+    }
+}
+
+fn states(registry: &Registry) -> Vec<UpstreamState> {
+    registry.current(NOW).iter().map(|a| a.state).collect()
+}
+
+#[test]
+fn overtaken_announcements() {
+    let mut registry = Registry::default();
+    registry.announce(NOW, says("i-1", 5, 2, UpstreamState::Ready));
+    assert_eq!(registry.announce(NOW, says("i-1", 5, 3, UpstreamState::Ready)), Announced::Renewed);
+    assert_eq!(registry.announce(NOW, says("i-1", 5, 3, UpstreamState::Ready)), Announced::Stale);
+    let drain = says("i-1", 5, 7, UpstreamState::Draining);
+    assert_eq!(registry.announce(NOW, drain), Announced::Changed);
+    assert_eq!(registry.announce(NOW, says("i-1", 5, 6, UpstreamState::Ready)), Announced::Stale);
+    registry.announce(NOW, says("i-1", 5, 8, UpstreamState::Ready));
+    assert_eq!(states(&registry), [UpstreamState::Draining]);
+}
+
+#[test]
+fn the_end_is_final_for_one_process() {
+    let mut registry = Registry::default();
+    registry.announce(NOW, says("i-1", 5, 2, UpstreamState::Ready));
+    let id = "i-1".parse().unwrap();
+    assert!(registry.withdraw_process(&id, Some(Generation(5))).is_some());
+    assert_eq!(registry.announce(NOW, says("i-1", 5, 9, UpstreamState::Ready)), Announced::Stale);
+    // The same name, started again; the end of its forerunner comes late, twice.
+    assert_eq!(registry.announce(NOW, says("i-1", 6, 1, UpstreamState::Ready)), Announced::Changed);
+    assert!(registry.withdraw_process(&id, Some(Generation(5))).is_none());
+    assert_eq!(states(&registry), [UpstreamState::Ready]);
+}
+
+#[test]
+fn any_order_ends_with_the_latest_process() {
+    // Whatever the order in which announcements of three processes arrive, the latest one holds.
+    arbtest::arbtest(|u| {
+        let mut registry = Registry::new(Duration::from_mins(1));
+        let mut left: Vec<_> =
+            (0..3).flat_map(|p| (1..4).map(move |s| (p, s))).collect::<Vec<(u64, u64)>>();
+        while !left.is_empty() {
+            let (process, sequence) = left.swap_remove(u.choose_index(left.len())?);
+            let name = format!("i-{process}");
+            registry.announce(NOW, says(&name, process + 10, sequence, UpstreamState::Ready));
+        }
+        let held = registry.current(NOW);
+        assert_eq!(held.len(), 1);
+        assert_eq!(held[0].process.as_ref().unwrap().instance.as_str(), "i-2");
+        Ok(())
+    });
+}
