--- a/goldcresttallyd/src/control/connections.rs
+++ b/goldcresttallyd/src/control/connections.rs
@@ -24,7 +24,7 @@
 use crate::events::{self, emit};
 
 /// Time within which a connection must stand, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 500;
+const CONNECT_TIMEOUT_MS: u64 = 300;
 
 /// Time within which a request must be answered, in milliseconds.
 const REQUEST_TIMEOUT_MS: u64 = 1500;
--- a/goldcresttallyd/src/control/join.rs
+++ b/goldcresttallyd/src/control/join.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use goldcresttally_core::{Deadline, NodeId};
+use goldcresttally_core::{Deadline, Map, NodeId};
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership as members;
 
@@ -18,6 +18,13 @@
 /// does, so it costs a tenth of a read a second and domain.
 const DIRECTORY_IDLE_MS: u64 = 8000;
 
+/// Nodes through which one attempt to join is made at once.
+const JOINS_AT_ONCE: usize = 3;
+
+/// Attempts to join a listed node that must fail before it is taken off the list: at the longest
+/// waits, half a minute.
+const GONE_AFTER_FAILURES: u32 = 6;
+
 /// Interval at which a node puts itself on the list again: another one may have taken it off.
 const RELIST_INTERVAL: Duration = Duration::from_mins(1);
 
@@ -37,12 +44,27 @@
         seeds.extend(&self.settings.node.seeds);
         seeds.extend(&*self.listed.borrow());
         seeds.retain(|s| *s != own);
-        let Some(seed) = fastrand::choice(seeds) else {
+        if seeds.is_empty() {
             return;
-        };
+        }
         self.joining.set(true);
         let control = Rc::clone(self);
-        self.tasks.spawn_local(async move { control.join(seed).await });
+        self.tasks.spawn_local(async move {
+            control.join_any(seeds).await;
+            control.joining.set(false);
+        });
+    }
+
+    /// Tries some of `seeds` at once: those that are gone take a connection's time-out to tell.
+    /// Returns those that could not be joined.
+    async fn join_any(self: &Rc<Self>, mut seeds: Vec<NodeId>) -> Vec<NodeId> {
+        fastrand::shuffle(&mut seeds);
+        seeds.dedup();
+        seeds.truncate(JOINS_AT_ONCE);
+        let joins = seeds.iter().map(|seed| Rc::clone(self).join(*seed));
+        let joined = futures::future::join_all(joins).await;
+        let failed = seeds.into_iter().zip(joined).filter(|(_, joined)| !joined);
+        failed.map(|(seed, _)| seed).collect()
     }
 
     /// Keeps this node on the directory's list, and joins nodes on it that this one does not know:
@@ -53,6 +75,7 @@
         let own = self.machines.borrow().membership.own().id;
         let mut add_by = Deadline(self.now());
         let mut strangers_seen = 0;
+        let mut failures: Map<NodeId, u32> = Map::default();
         loop {
             if add_by.is_past(self.now()) {
                 match directory.add(own).await {
@@ -64,8 +87,14 @@
             if self.looks_for_others()
                 && let Ok(nodes) = directory.list().await
             {
-                let found = self.meet_strangers(nodes).await;
-                strangers_seen = if found { strangers_seen + 1 } else { 0 };
+                let strangers = self.strangers(nodes);
+                strangers_seen = if strangers.is_empty() { 0 } else { strangers_seen + 1 };
+                let gone = self.meet(strangers, &mut failures).await;
+                if !gone.is_empty()
+                    && let Err(e) = directory.remove(gone).await
+                {
+                    emit(events::DIRECTORY_FAILED, format_args!("{e}"));
+                }
             }
             let urgent = !listed || self.is_alone() || strangers_seen > 0;
             let wait_ms = match urgent {
@@ -75,9 +104,11 @@
             let wait = Duration::from_millis(wait_ms / 2 + fastrand::u64(0..wait_ms));
             tokio::select! {
                 () = tokio::time::sleep(wait) => {}
-                () = self.stop.cancelled() => return,
+                () = self.stop.cancelled() => break,
             }
         }
+        // Should this fail, others take this node off the list when they cannot join it.
+        let _ = directory.remove(vec![own]).await;
     }
 
     fn is_alone(&self) -> bool {
@@ -92,8 +123,8 @@
         near.all(|r| own.id < r.id)
     }
 
-    /// Joins through a listed node that is no member here; returns whether there is one.
-    async fn meet_strangers(self: &Rc<Self>, nodes: Vec<NodeId>) -> bool {
+    /// Returns the listed nodes that are no members here.
+    fn strangers(&self, nodes: Vec<NodeId>) -> Vec<NodeId> {
         let strangers: Vec<NodeId> = {
             let machines = self.machines.borrow();
             let membership = &machines.membership;
@@ -107,17 +138,37 @@
             self.joined.set(strangers.is_empty());
         }
         *self.listed.borrow_mut() = nodes;
-        let Some(stranger) = fastrand::choice(&strangers) else { return false };
-        if !self.joining.replace(true) {
-            Rc::clone(self).join(*stranger).await;
+        strangers
+    }
+
+    /// Joins through some of `strangers`; returns those that could not be joined for long.
+    async fn meet(
+        self: &Rc<Self>,
+        strangers: Vec<NodeId>,
+        failures: &mut Map<NodeId, u32>,
+    ) -> Vec<NodeId> {
+        failures.retain(|id, _| strangers.contains(id));
+        if strangers.is_empty() || self.joining.replace(true) {
+            return Vec::new();
+        }
+        let failed = self.join_any(strangers).await;
+        self.joining.set(false);
+        for id in failed {
+            *failures.entry(id).or_default() += 1;
+        }
+        // A node that nobody answers for cannot tell those that are gone from those cut off.
+        if self.is_alone() {
+            return Vec::new();
         }
-        true
+        let gone = failures.iter().filter(|(_, n)| **n >= GONE_AFTER_FAILURES);
+        gone.map(|(id, _)| *id).collect()
     }
 
-    async fn join(self: Rc<Self>, seed: NodeId) {
+    /// Joins through one node; returns whether it answered.
+    async fn join(self: Rc<Self>, seed: NodeId) -> bool {
         let record = self.machines.borrow().membership.own().clone();
         let result = self.connections.join(seed, &record).await;
-        self.joining.set(false);
+        let answered = result.is_ok();
         match result {
             Ok(Some(joined)) => {
                 self.joined.set(true);
@@ -147,6 +198,7 @@
                 self.machines.borrow_mut().pacer.failed(self.now());
             }
         }
+        answered
     }
 
     /// Compares views with a member and exchanges what differs.
