--- a/goldcresttally-proxy/src/entry/observe.rs
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -122,9 +122,7 @@
             Err(_) => {}
         }
     }
-}
 
-impl Call {
     /// Takes the size of a call and its answer into the average of its class.
     fn note_size(&self, response: &Response<CallBody>) {
         let answer = response.body().size_hint().lower();
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -8,9 +8,8 @@
 use arc_swap::ArcSwap;
 use goldcresttally_config::Snapshot;
 use goldcresttally_core::{AttemptId, Deadline, Generation, Map, MonoTime, NodeId, ServiceName};
-use tokio_util::sync::CancellationToken;
-
 use goldcresttally_routing::{BudgetOptions, ClassTable, Endpoint, RetryBudget, Throttle};
+use tokio_util::sync::CancellationToken;
 
 use crate::call_log::CallLog;
 use crate::clock::Clock;
--- a/goldcresttallyd/src/control/join.rs
+++ b/goldcresttallyd/src/control/join.rs
@@ -6,6 +6,7 @@
 use goldcresttally_core::{Deadline, Map, NodeId};
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership as members;
+use goldcresttally_store::Directory;
 
 use super::driver::Control;
 use crate::events::{self, emit};
@@ -58,8 +59,9 @@
     /// Tries some of `seeds` at once: those that are gone take a connection's time-out to tell.
     /// Returns those that could not be joined.
     async fn join_any(self: &Rc<Self>, mut seeds: Vec<NodeId>) -> Vec<NodeId> {
-        fastrand::shuffle(&mut seeds);
+        seeds.sort_unstable();
         seeds.dedup();
+        fastrand::shuffle(&mut seeds);
         seeds.truncate(JOINS_AT_ONCE);
         let joins = seeds.iter().map(|seed| Rc::clone(self).join(*seed));
         let joined = futures::future::join_all(joins).await;
@@ -84,16 +86,11 @@
                 }
             }
             let listed = add_by.remaining(self.now()) > Duration::ZERO;
-            if self.looks_for_others()
-                && let Ok(nodes) = directory.list().await
-            {
-                let strangers = self.strangers(nodes);
-                strangers_seen = if strangers.is_empty() { 0 } else { strangers_seen + 1 };
-                let gone = self.meet(strangers, &mut failures).await;
-                if !gone.is_empty()
-                    && let Err(e) = directory.remove(gone).await
-                {
-                    emit(events::DIRECTORY_FAILED, format_args!("{e}"));
+            if self.looks_for_others() {
+                match self.look_for_others(&*directory, &mut failures).await {
+                    Ok(true) => strangers_seen += 1,
+                    Ok(false) => strangers_seen = 0,
+                    Err(e) => emit(events::DIRECTORY_FAILED, format_args!("{e}")),
                 }
             }
             let urgent = !listed || self.is_alone() || strangers_seen > 0;
@@ -111,6 +108,22 @@
         let _ = directory.remove(vec![own]).await;
     }
 
+    /// Joins listed nodes that are no members here, and takes those off the list that are gone;
+    /// returns whether there were any.
+    async fn look_for_others(
+        self: &Rc<Self>,
+        directory: &dyn Directory,
+        failures: &mut Map<NodeId, u32>,
+    ) -> goldcresttally_store::Result<bool> {
+        let strangers = self.strangers(directory.list().await?);
+        let found = !strangers.is_empty();
+        let gone = self.meet(strangers, failures).await;
+        if !gone.is_empty() {
+            directory.remove(gone).await?;
+        }
+        Ok(found)
+    }
+
     fn is_alone(&self) -> bool {
         self.machines.borrow().membership.members().next().is_none()
     }
