--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -14,16 +14,14 @@
 use goldcresttally_proxy::link::Links;
 use goldcresttally_proxy::{Peer, Transport};
 use goldcresttally_store::{Directory, DocumentSource, TableStore};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::Config;
 use super::command::{Command, ControlStatus, Traffic};
 use super::connections::Connections;
-use super::{Config, server};
-use crate::events::{self, emit};
 use crate::settings::Settings;
 
 /// Interval at which the machines are told the time, in milliseconds.
@@ -75,40 +73,9 @@
     pub refusal: RefCell<Option<Arc<str>>>,
 }
 
-/// The control listeners, bound.
-pub(super) struct Listeners {
-    pub tcp: std::net::TcpListener,
-    pub udp: std::net::UdpSocket,
-}
-
-/// Runs the control thread to its end.
-pub(super) fn run_thread(config: Config, listeners: Listeners, commands: mpsc::Receiver<Command>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = match runtime {
-        Ok(runtime) => runtime,
-        Err(e) => return emit(events::NODE_STOPPED, format_args!("no runtime: {e}")),
-    };
-    LocalSet::new().block_on(&runtime, run_task(config, listeners, commands));
-}
-
-/// Runs the control machines on the local tasks of the current thread.
-pub(super) async fn run_task(
-    config: Config,
-    listeners: Listeners,
-    commands: mpsc::Receiver<Command>,
-) {
-    let run = async move {
-        let control = Rc::new(Control::new(config, listeners.udp)?);
-        control.run(TcpListener::from_std(listeners.tcp)?, commands).await;
-        std::io::Result::Ok(())
-    };
-    if let Err(e) = run.await {
-        emit(events::NODE_STOPPED, format_args!("control machines failed: {e}"));
-    }
-}
-
 impl Control {
-    fn new(config: Config, socket: std::net::UdpSocket) -> std::io::Result<Self> {
+    /// Returns the machines of a node that has just started.
+    pub fn new(config: Config, socket: std::net::UdpSocket) -> std::io::Result<Self> {
         let now = config.peer.state().clock.now();
         let settings = config.settings;
         let id = config.own.id;
@@ -157,9 +124,8 @@
         })
     }
 
-    async fn run(self: &Rc<Self>, listener: TcpListener, mut commands: mpsc::Receiver<Command>) {
-        let accept = server::accept(Rc::clone(self), listener);
-        self.tasks.spawn_local(accept);
+    /// Drives the machines until the node stops.
+    pub async fn run(self: &Rc<Self>, mut commands: mpsc::Receiver<Command>) {
         self.tasks.spawn_local(Rc::clone(self).keep_listed());
         let mut tick = tokio::time::interval(Duration::from_millis(TICK_MS));
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/goldcresttallyd/src/control/mod.rs
+++ b/goldcresttallyd/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod idle;
 mod join;
 mod membership;
+mod run;
 mod server;
 mod spread;
 mod view;
@@ -84,13 +85,13 @@
         let address = config.own.id.0;
         let tcp = TcpListener::bind(address).await?.into_std()?;
         let udp = UdpSocket::bind(address).await?.into_std()?;
-        let listeners = driver::Listeners { tcp, udp };
+        let listeners = run::Listeners { tcp, udp };
         let (commands, rx) = mpsc::channel(COMMAND_QUEUE);
         let runner = if own_thread {
             let thread = std::thread::Builder::new().name("control".to_owned());
-            Runner::Thread(thread.spawn(move || driver::run_thread(config, listeners, rx))?)
+            Runner::Thread(thread.spawn(move || run::run_thread(config, listeners, rx))?)
         } else {
-            Runner::Task(tokio::task::spawn_local(driver::run_task(config, listeners, rx)))
+            Runner::Task(tokio::task::spawn_local(run::run_task(config, listeners, rx)))
         };
         Ok(Self { runner, commands })
     }
