--- /dev/null
+++ b/goldcresttallyd/src/control/run.rs
@@ -0,0 +1,46 @@
+//! Runs the control machines and their listener, on a thread of their own or beside the calls.
+
+use std::rc::Rc;
+
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+use super::command::Command;
+use super::driver::Control;
+use super::{Config, server};
+use crate::events::{self, emit};
+
+/// The control listeners, bound.
+pub(super) struct Listeners {
+    pub tcp: std::net::TcpListener,
+    pub udp: std::net::UdpSocket,
+}
+
+/// Runs the control thread to its end.
+pub(super) fn run_thread(config: Config, listeners: Listeners, commands: mpsc::Receiver<Command>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(e) => return emit(events::NODE_STOPPED, format_args!("no runtime: {e}")),
+    };
+    LocalSet::new().block_on(&runtime, run_task(config, listeners, commands));
+}
+
+/// Runs the control machines on the local tasks of the current thread.
+pub(super) async fn run_task(
+    config: Config,
+    listeners: Listeners,
+    commands: mpsc::Receiver<Command>,
+) {
+    let run = async move {
+        let control = Rc::new(Control::new(config, listeners.udp)?);
+        let accept = server::accept(Rc::clone(&control), TcpListener::from_std(listeners.tcp)?);
+        control.tasks.spawn_local(accept);
+        control.run(commands).await;
+        std::io::Result::Ok(())
+    };
+    if let Err(e) = run.await {
+        emit(events::NODE_STOPPED, format_args!("control machines failed: {e}"));
+    }
+}
