--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -142,7 +142,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RequestSettings {
-    /// Time after the notice of leaving until listeners close, in milliseconds.
+    /// Time after the notice of leaving for which callers are still served, in milliseconds.
     pub leave_notice_ms: u64,
     /// Time that calls in flight have to end in a planned stop, in milliseconds.
     pub drain_ms: u64,
