Admission: least slack first with room for slow services, fresh calls before those that came back, throttles by class

Service times do not grow with calls in progress (281 ms full, 246 ms half full: instrumented copy), so it is the queue: calls were started when the usual time was all that was left, and calls that came back after a refusal had the target of a fresh one.

--- a/goldcresttally-admission/src/machine.rs
+++ b/goldcresttally-admission/src/machine.rs
@@ -13,7 +13,19 @@
 const HEADROOM_DIVISOR: usize = 12;
 
 /// Service time to allow for, as a multiple of the average.
-const SERVICE_TIME_MARGIN: f64 = 1.1;
+const SERVICE_TIME_MARGIN: f64 = 1.6;
+
+/// Share of the time left for which a call that is late already may wait: its caller is better
+/// told soon that there is no room.
+const LATE_WAIT_SHARE: f64 = 0.25;
+
+/// Share of the usual time of all calls below which the work of a call is short: to refuse it
+/// saves others next to nothing. Such are the calls that upstreams make of each other, and to
+/// refuse one spoils the work of its caller.
+const SHORT_SHARE: f64 = 0.3;
+
+/// Share of the time left for which a short call may wait, though it becomes late.
+const SHORT_WAIT_SHARE: f64 = 0.5;
 
 /// Admission to one upstream.
 #[derive(Debug)]
@@ -60,12 +72,20 @@
                 let is_late = on_time_by.is_past(now);
                 let class = CallClass { rank, target };
                 let work = self.times.of(class);
-                let max_wait = (!is_late).then(|| max_wait(now, on_time_by, target, work));
+                let left = deadline.remaining(now);
+                let spare = max_wait(now, on_time_by, target, work);
+                let is_short = work < self.times.overall().mul_f64(SHORT_SHARE);
+                let max_wait = match (is_late, is_short) {
+                    (true, _) => left.mul_f64(LATE_WAIT_SHARE),
+                    (false, true) => spare.max(left.mul_f64(SHORT_WAIT_SHARE)),
+                    (false, false) => spare,
+                };
                 let start_by = start_by(now, deadline, max_wait, work);
+                let on_time_start = Deadline::after(now, spare).min(start_by);
                 // A call that is late already must not make others late.
                 let last = self.options.floors.len().max(rank);
                 let lane = if is_late { last } else { rank };
-                let offered = Waiting { call, start_by, arrived: now, on_time_by, work };
+                let offered = Waiting { call, start_by, on_time_start, arrived: now, work };
                 self.classes.insert(call, class);
                 let first = actions.len();
                 self.on_offer(now, lane, offered, actions);
@@ -140,7 +160,7 @@
         }
         let fifo = self.options.policy == Policy::Fifo;
         let lane = if fifo { 0 } else { rank };
-        if !fifo && offered.start_by.is_past(now + self.wait_for(lane, offered.on_time_by)) {
+        if !fifo && offered.start_by.is_past(now + self.wait_for(lane, offered.on_time_start)) {
             // What would be late because of the work ahead of it is refused for that work's sake.
             let refusal = match offered.start_by.is_past(now) {
                 true => Refusal::Deadline,
@@ -157,15 +177,14 @@
         self.queue.push(lane, offered);
     }
 
-    /// Returns how long a call of `rank` that is on time until `on_time_by` would wait for the work
-    /// that goes before it.
-    fn wait_for(&self, rank: usize, on_time_by: Deadline) -> Duration {
+    /// Returns how long a call of `rank` would wait for the work that goes before it.
+    fn wait_for(&self, rank: usize, on_time_start: Deadline) -> Duration {
         let limit = self.limit.get();
         if self.running.len() < limit {
             return Duration::ZERO;
         }
         // The first slot is free after a share of the time of those that run.
-        let ahead = self.times.overall() + self.queue.work_ahead(rank, on_time_by);
+        let ahead = self.times.overall() + self.queue.work_ahead(rank, on_time_start);
         ahead.div_f64(limit as f64)
     }
 
@@ -250,17 +269,11 @@
 }
 
 /// Returns until when a call must start to be answered before its deadline, and within its
-/// longest wait where that is known.
-fn start_by(
-    now: MonoTime,
-    deadline: Deadline,
-    max_wait: Option<Duration>,
-    work: Duration,
-) -> Deadline {
+/// longest wait once the time of its work is known.
+fn start_by(now: MonoTime, deadline: Deadline, max_wait: Duration, work: Duration) -> Deadline {
     // Half of the usual service time may be enough for one call.
     let last = deadline.remaining(now).saturating_sub(work.div_f64(2.0));
-    let max_wait = max_wait.filter(|_| !work.is_zero());
-    Deadline::after(now, max_wait.map_or(last, |max_wait| max_wait.min(last)))
+    Deadline::after(now, if work.is_zero() { last } else { max_wait.min(last) })
 }
 
 fn floors_of(options: &Options) -> &[f64] {
--- a/goldcresttally-admission/src/queue.rs
+++ b/goldcresttally-admission/src/queue.rs
@@ -21,10 +21,10 @@
     pub call: CallId,
     /// When it must have been sent to the upstream, or is better refused.
     pub start_by: Deadline,
+    /// Until when it can be sent and still be on time: within a rank, the earliest goes first.
+    pub on_time_start: Deadline,
     /// When it came.
     pub arrived: MonoTime,
-    /// Until when its answer is on time: within a rank, the earliest goes first.
-    pub on_time_by: Deadline,
     /// How long it is expected to run.
     pub work: Duration,
 }
@@ -67,12 +67,12 @@
         self.len == 0
     }
 
-    /// Returns the work of the calls that would be served before one of `rank` that is on time
-    /// until `on_time_by`.
-    pub fn work_ahead(&self, rank: usize, on_time_by: Deadline) -> Duration {
+    /// Returns the work of the calls that would be served before one of `rank` that is on time if
+    /// it starts by `on_time_start`.
+    pub fn work_ahead(&self, rank: usize, on_time_start: Deadline) -> Duration {
         let more_urgent = self.lanes.iter().take(rank).flat_map(|l| &l.waiting);
         let own = self.lanes.get(rank).into_iter().flat_map(|l| &l.waiting);
-        let earlier = own.take_while(|w| w.on_time_by <= on_time_by);
+        let earlier = own.take_while(|w| w.on_time_start <= on_time_start);
         more_urgent.chain(earlier).map(|w| w.work).sum()
     }
 
@@ -81,14 +81,14 @@
         self.lanes.iter().take(rank + 1).map(|l| l.waiting.len()).sum()
     }
 
-    /// Adds a call to its rank, behind those that are late no later than it.
+    /// Adds a call to its rank, behind those that must start no later to be on time.
     pub fn push(&mut self, rank: usize, waiting: Waiting) {
         if self.lanes.len() <= rank {
             self.lanes.resize_with(rank + 1, Lane::default);
         }
         let lane = &mut self.lanes[rank];
         lane.arrived = Some(waiting.arrived);
-        let at = lane.waiting.partition_point(|w| w.on_time_by <= waiting.on_time_by);
+        let at = lane.waiting.partition_point(|w| w.on_time_start <= waiting.on_time_start);
         lane.waiting.insert(at, waiting);
         self.len += 1;
     }
--- a/goldcresttally-config/src/snapshot/mod.rs
+++ b/goldcresttally-config/src/snapshot/mod.rs
@@ -4,6 +4,7 @@
 mod matching;
 mod split;
 
+use std::hash::{Hash, Hasher as _};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -74,6 +75,15 @@
     pub target: Duration,
 }
 
+impl Route {
+    /// Returns a key that tells routes with different callers apart over versions, never 0.
+    pub fn key_of_callers(&self) -> u32 {
+        let mut hasher = goldcresttally_core::Hasher::default();
+        (&self.host, &self.path, self.target).hash(&mut hasher);
+        (hasher.finish() >> 32) as u32 | 1
+    }
+}
+
 /// One version of the configuration, closed and ready to serve.
 #[derive(Debug, Default)]
 pub struct Snapshot {
--- a/goldcresttally-core/src/lib.rs
+++ b/goldcresttally-core/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod units;
 pub mod verdict;
 
-pub use collections::{Map, Set};
+pub use collections::{Hasher, Map, Set};
 pub use errors::{Error, Result};
 pub use ids::{
     AttemptId, DomainId, Generation, Incarnation, InstanceId, NodeId, OperationId, RankName,
--- a/goldcresttally-proxy/src/call_log.rs
+++ b/goldcresttally-proxy/src/call_log.rs
@@ -17,6 +17,8 @@
     pub service: Option<&'a ServiceName>,
     /// The configuration version that it began with.
     pub version: Version,
+    /// Its rank, 0 the most urgent, and the target of its route, once it has a route.
+    pub class: Option<(usize, Duration)>,
     /// Time since it came.
     pub age: Duration,
     /// Time left until its deadline.
@@ -25,9 +27,12 @@
 
 impl fmt::Display for CallInfo<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { id, service, version, age, left } = self;
+        let Self { id, service, version, class, age, left } = self;
         let (age, left) = (age.as_millis(), left.as_millis());
         write!(f, "call={id} version={version} age_ms={age} left_ms={left}")?;
+        if let Some((rank, target)) = class {
+            write!(f, " rank={rank} target_ms={}", target.as_millis())?;
+        }
         service.map_or(Ok(()), |service| write!(f, " service={service}"))
     }
 }
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -130,8 +130,7 @@
         headers::set(map, headers::SERVICE, &self.service.name);
         headers::set(map, headers::RANK, &self.route.rank.name);
         headers::set(map, headers::TARGET_MS, &self.route.target.as_millis());
-        let on_time_by = Deadline::after(self.started, self.route.target);
-        let on_time = on_time_by.remaining(self.entry.state.clock.now()).as_millis();
+        let on_time = self.on_time_by.remaining(self.entry.state.clock.now()).as_millis();
         headers::set_unique(map, headers::ON_TIME_MS, &on_time);
         if keyed {
             headers::set(map, headers::KEYED, "true");
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -5,7 +5,7 @@
 
 use goldcresttally_config::{KeyPolicy, Route, Service};
 use goldcresttally_core::{AttemptId, Deadline, MonoTime};
-use goldcresttally_routing::{Endpoint, Failure, Throttle, Tries, TryLimits};
+use goldcresttally_routing::{Endpoint, Failure, Throttle, Tries, TryLimits, class_key, late_key};
 use http::header::EXPECT;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -42,6 +42,8 @@
     pub key: Option<HeaderValue>,
     pub started: MonoTime,
     pub deadline: Deadline,
+    /// Until when the answer is on time, by what the caller seems to have waited before.
+    pub on_time_by: Deadline,
 }
 
 /// One attempt to run a call.
@@ -75,6 +77,13 @@
         let route = Arc::clone(route);
         let conventions = &entry.state.conventions;
         let asked = headers::time_left(&parts.headers, &conventions.deadline_ms);
+        let service = Arc::clone(route.split.next(entry.split_offset));
+        let spent = asked.and_then(|left| {
+            let limits = serving.limits.get(&service.name)?;
+            Some(limits.patience.spent(route.key_of_callers(), left))
+        });
+        let on_time = route.target.saturating_sub(spent.unwrap_or_default());
+        let on_time_by = Deadline::after(started, on_time);
         let asked = asked.unwrap_or(route.timeout);
         let deadline = Deadline::after(started, asked.min(route.timeout));
         if !entry.state.outlasts(deadline) {
@@ -91,9 +100,19 @@
             (KeyPolicy::Required, None) => return Err(CallError::not_run(Reason::KeyMissing)),
             (KeyPolicy::Optional | KeyPolicy::Required, key) => key,
         };
-        let service = Arc::clone(route.split.next(entry.split_offset));
         let entry = Arc::clone(entry);
-        let call = Self { entry, route, service, serving, parts, host, key, started, deadline };
+        let call = Self {
+            entry,
+            route,
+            service,
+            serving,
+            parts,
+            host,
+            key,
+            started,
+            deadline,
+            on_time_by,
+        };
         Ok((call, body))
     }
 
@@ -131,11 +150,19 @@
             id: self.entry.state.conventions.id_of(&self.parts.headers),
             service: Some(&self.service.name),
             version: self.serving.snapshot.version(),
+            class: Some((self.route.rank.index, self.route.target)),
             age: now.since(self.started),
             left: self.deadline.remaining(now),
         }
     }
 
+    /// Notes that the caller is told of a failure, and may come back.
+    pub fn note_failed(&self) {
+        if let Some(limits) = self.limits() {
+            limits.patience.failed(self.route.key_of_callers());
+        }
+    }
+
     /// Notes a decision about the call.
     pub fn note(&self, event: CallEvent) {
         self.entry.state.call_log.note(&self.info(), event);
@@ -246,7 +273,7 @@
         let Some(limits) = self.limits() else { return Ok(()) };
         let now = self.entry.state.clock.now();
         limits.retries.on_call(now, &self.entry.state.retry_options());
-        let Some(throttle) = self.throttle() else { return Ok(()) };
+        let throttle = limits.throttles.of(self.throttle_key());
         let admits = throttle.admit(now, fastrand::f64());
         if admits || !self.entry.options.throttle {
             return Ok(());
@@ -260,9 +287,22 @@
         self.serving.limits.get(&self.service.name)
     }
 
-    /// Returns the throttle of this call's service and rank.
+    /// Returns the throttle of this call's service and class.
     pub fn throttle(&self) -> Option<&Throttle> {
-        self.limits()?.throttles.get(self.route.rank.index).map(|t| &**t)
+        Some(self.limits()?.throttles.of(self.throttle_key()))
+    }
+
+    /// Returns the key of this call's class.
+    pub fn class_key(&self) -> u32 {
+        key_of(&self.route)
+    }
+
+    /// Calls that came late have a throttle of their own: they are refused more often.
+    fn throttle_key(&self) -> u32 {
+        match self.on_time_by <= Deadline(self.started) {
+            true => late_key(self.class_key()),
+            false => self.class_key(),
+        }
     }
 
     /// Returns the instant of the call's deadline.
@@ -271,6 +311,10 @@
     }
 }
 
+fn key_of(route: &Route) -> u32 {
+    class_key(route.rank.index, route.target.as_millis() as u64)
+}
+
 fn host_of(parts: &Parts) -> String {
     let header = parts.headers.get(http::header::HOST).and_then(|v| v.to_str().ok());
     let authority = parts.uri.authority().map(http::uri::Authority::as_str);
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -102,6 +102,7 @@
                     id: &id,
                     service: None,
                     version: self.state.serving().snapshot.version(),
+                    class: None,
                     age: Duration::ZERO,
                     left: Duration::ZERO,
                 };
@@ -121,10 +122,14 @@
                 if response.status().is_server_error() {
                     let (status, node) = (response.status(), tries.tried().last().copied());
                     call.note(CallEvent::UpstreamFailed { status, node });
+                    call.note_failed();
                 }
                 response
             }
-            Err(error) => self.failed(&call.info(), error, tries.tried().len()),
+            Err(error) => {
+                call.note_failed();
+                self.failed(&call.info(), error, tries.tried().len())
+            }
         }
     }
 
--- a/goldcresttally-proxy/src/entry/observe.rs
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use goldcresttally_core::{Deadline, MonoTime, Verdict};
-use goldcresttally_routing::{Asked, Endpoint, class_key};
+use goldcresttally_core::{MonoTime, Verdict};
+use goldcresttally_routing::{Asked, Endpoint};
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
@@ -138,10 +138,6 @@
         InFlight::start(attempt.endpoint.clone(), self.route.rank.index, self.route.target)
     }
 
-    fn class_key(&self) -> u32 {
-        class_key(self.route.rank.index, self.route.target.as_millis() as u64)
-    }
-
     /// Says what the call asks of an endpoint.
     pub(super) fn asked(&self, now: MonoTime) -> Asked {
         let bytes = self.limits().and_then(|limits| limits.bytes.get(self.class_key()));
@@ -149,7 +145,7 @@
             now,
             rank: self.route.rank.index,
             target: self.route.target,
-            on_time_by: Deadline::after(self.started, self.route.target),
+            on_time_by: self.on_time_by,
             bytes: bytes.unwrap_or(0),
         }
     }
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -227,6 +227,7 @@
             id: &self.call_id,
             service: Some(&self.ticket.service),
             version: state.serving().snapshot.version(),
+            class: Some((self.ticket.rank, self.ticket.target)),
             age: state.clock.now().since(self.began),
             left: self.ticket.deadline.remaining(state.clock.now()),
         };
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -8,7 +8,9 @@
 use arc_swap::ArcSwap;
 use goldcresttally_config::Snapshot;
 use goldcresttally_core::{AttemptId, Deadline, Generation, Map, MonoTime, NodeId, ServiceName};
-use goldcresttally_routing::{BudgetOptions, ClassTable, Endpoint, RetryBudget, Throttle};
+use goldcresttally_routing::{
+    BudgetOptions, ClassTable, Endpoint, Patience, RetryBudget, Throttles,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::call_log::CallLog;
@@ -33,9 +35,11 @@
 /// Limits of one service at the entry.
 #[derive(Debug, Default)]
 pub struct EntryLimits {
-    /// Refuses early what the upstreams would refuse; one by rank, so that a flood of one rank
-    /// leaves the others theirs.
-    pub throttles: Vec<Arc<Throttle>>,
+    /// Refuses early what the upstreams would refuse, by class of call, so that a flood of one
+    /// class leaves the others theirs.
+    pub throttles: Arc<Throttles>,
+    /// Times that callers state, by class of call.
+    pub patience: Arc<Patience>,
     /// Bounds retries.
     pub retries: Arc<RetryBudget>,
     /// Usual bytes of a call and its answer, by class of call.
@@ -69,12 +73,11 @@
 impl Serving {
     /// Prepares a snapshot for serving; counts go on from the one before it.
     pub fn new(snapshot: Snapshot, before: &Self) -> Self {
-        let ranks = snapshot.ranks().len();
         let limits = |name: &ServiceName| {
             let held = before.limits.get(name);
-            let throttle = |i: usize| held.and_then(|h| h.throttles.get(i).map(Arc::clone));
             EntryLimits {
-                throttles: (0..ranks).map(|i| throttle(i).unwrap_or_default()).collect(),
+                throttles: held.map(|h| Arc::clone(&h.throttles)).unwrap_or_default(),
+                patience: held.map(|h| Arc::clone(&h.patience)).unwrap_or_default(),
                 retries: held.map(|h| Arc::clone(&h.retries)).unwrap_or_default(),
                 bytes: held.map(|h| Arc::clone(&h.bytes)).unwrap_or_default(),
             }
--- a/goldcresttally-routing/src/lib.rs
+++ b/goldcresttally-routing/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`ejection`]: endpoints that fail are left out for a while, up to a share of them.
 //! * [`budget`]: bounds retries to a share of the calls.
 //! * [`tries`]: whether a call that failed is tried again.
+//! * [`patience`]: tells calls that were refused before from fresh ones.
 //! * [`throttle`]: refuses early what the upstreams would refuse anyway.
 
 pub mod budget;
@@ -14,15 +15,17 @@
 pub mod ejection;
 pub mod endpoint;
 pub mod load;
+pub mod patience;
 pub mod picker;
 pub mod throttle;
 pub mod tries;
 
 pub use budget::{BudgetOptions, RetryBudget};
-pub use class_table::{ClassTable, class_key};
+pub use class_table::{ClassTable, class_key, late_key};
 pub use ejection::Ejection;
 pub use endpoint::{Endpoint, Locality, Observed};
 pub use load::LoadReport;
+pub use patience::Patience;
 pub use picker::{Asked, Picker};
-pub use throttle::Throttle;
+pub use throttle::{Throttle, Throttles};
 pub use tries::{Failure, Tries, TryLimits};
--- a/goldcresttally-routing/src/throttle.rs
+++ b/goldcresttally-routing/src/throttle.rs
@@ -9,6 +9,8 @@
 
 use goldcresttally_core::MonoTime;
 
+use crate::class_table::spread;
+
 /// Requests let through for each one that was accepted.
 const MULTIPLIER: f64 = 1.5;
 
@@ -18,7 +20,30 @@
 /// Half-life of the counts, in milliseconds.
 const HALF_LIFE_MS: u64 = 250;
 
-/// Counts of one service and rank; shared by the threads that serve calls.
+/// Throttles of one service; classes beyond this many share theirs.
+const SLOTS: usize = 64;
+
+/// The throttles of one service, by class of call: calls of one rank with another target, or that
+/// are late already, are refused by upstreams more or less often.
+#[derive(Debug)]
+pub struct Throttles {
+    slots: [Throttle; SLOTS],
+}
+
+impl Default for Throttles {
+    fn default() -> Self {
+        Self { slots: std::array::from_fn(|_| Throttle::default()) }
+    }
+}
+
+impl Throttles {
+    /// Returns the throttle of a class.
+    pub fn of(&self, key: u32) -> &Throttle {
+        &self.slots[spread(key) as usize % SLOTS]
+    }
+}
+
+/// Counts of one service and class of call; shared by the threads that serve calls.
 #[derive(Debug, Default)]
 pub struct Throttle {
     requests: AtomicU64,
