--- a/goldcresttally-admission/tests/overload_on_time.rs
+++ b/goldcresttally-admission/tests/overload_on_time.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use common::Bench;
 use goldcresttally_admission::{CallId, Event, Options};
@@ -34,12 +34,12 @@
     bench.step(Event::Configure(fixed));
     let mut served: Vec<Served> = kinds.iter().map(|_| Served::default()).collect();
     let mut calls: BTreeMap<CallId, (usize, u64, u64)> = BTreeMap::new();
-    let mut ends: BTreeMap<(u64, CallId), ()> = BTreeMap::new();
+    let mut ends: BTreeSet<(u64, CallId)> = BTreeSet::new();
     for now in 0..seconds * 1000 {
         bench.advance_to(now);
-        while let Some(((at, call), ())) = ends.pop_first() {
+        while let Some((at, call)) = ends.pop_first() {
             if at > now {
-                ends.insert((at, call), ());
+                ends.insert((at, call));
                 break;
             }
             bench.finish(call);
@@ -59,7 +59,7 @@
             }
         }
         for call in bench.dispatched() {
-            ends.insert((now + calls[&call].2, call), ());
+            ends.insert((now + calls[&call].2, call));
         }
     }
     served
