Calls leave a silent node long before their deadline, and it is the last choice at once

Cause: with one of two peers stopped by SIGSTOP, safe calls answered 502 after up to 2.4 s: only the HTTP/2 library's ping (300 + 700 ms) found the silence, and three failures in a row were needed to leave the node out. Now the link of an attempt without an answer is probed after a quarter of the target, and a probe that is not answered within 250 ms sends a safe call elsewhere and an unsafe one to settlement on a new connection. platform/tests/silent_node.rs: 502 before, 200 after.

--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use goldcresttally_core::Deadline;
+use goldcresttally_routing::silence::check_after;
 use http::uri::{Authority, PathAndQuery, Scheme};
 use http::{Request, Response, Uri};
 use http_body_util::BodyExt;
@@ -69,21 +70,30 @@
         // The peer ends the attempt at the deadline and knows whether it ran.
         let grace = Duration::from_millis(VERDICT_GRACE_MS);
         let limit = Deadline::after(self.deadline.0, grace);
-        let sent = self.entry.links.send(attempt.endpoint.peer, req, limit, probe).await;
-        match sent {
+        let check = check_after(self.route.target);
+        let peer = attempt.endpoint.peer;
+        match self.entry.links.send_checked(peer, req, limit, probe, check).await {
             Ok(response) => Ok(response.map(boxed)),
             Err(LinkError::NotSent) => Err(CallError::not_run(Reason::Unreachable)),
             Err(LinkError::TimedOut) => {
-                // The peer has not answered in time; nobody waits for it any more.
-                let entry = Arc::clone(&self.entry);
-                let attempt = attempt.clone();
-                self.entry.tasks.spawn(async move { entry.cancel(&attempt).await });
+                self.give_up(attempt);
                 Err(CallError::may_have_run(Reason::Deadline))
             }
-            Err(LinkError::Lost) => self.settle(attempt).await,
+            // Asking takes longer than running an idempotent call elsewhere.
+            Err(LinkError::Silent) if self.route.idempotent => {
+                self.give_up(attempt);
+                Err(CallError::may_have_run(Reason::Silent))
+            }
+            Err(LinkError::Lost | LinkError::Silent) => self.settle(attempt).await,
         }
     }
 
+    /// Tells the peer that nobody waits for an attempt any more.
+    fn give_up(&self, attempt: &Attempt) {
+        let (entry, attempt) = (Arc::clone(&self.entry), attempt.clone());
+        self.entry.tasks.spawn(async move { entry.cancel(&attempt).await });
+    }
+
     /// Tells a refusal from an answer, and reads a small answer to its end.
     async fn read_answer(
         &self,
--- a/goldcresttally-proxy/src/entry/observe.rs
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -111,6 +111,10 @@
                 self.entry.ejection.on_unreachable(now, &attempt.endpoint);
                 self.entry.state.counters.ejections.add();
             }
+            Err(error) if error.reason == Reason::Silent => {
+                self.entry.ejection.on_silent(now, &attempt.endpoint);
+                self.entry.state.counters.ejections.add();
+            }
             Err(error) if is_endpoint_failure(error) => {
                 let endpoints = self.entry.state.endpoints();
                 let all = endpoints.get(&self.service.name);
--- a/goldcresttally-proxy/src/entry/settle.rs
+++ b/goldcresttally-proxy/src/entry/settle.rs
@@ -58,7 +58,7 @@
                 Ok(Settlement::Running) => running = true,
                 Ok(settlement) => return Some(settlement),
                 Err(LinkError::NotSent) => unreachable += 1,
-                Err(LinkError::Lost | LinkError::TimedOut) => {}
+                Err(LinkError::Lost | LinkError::TimedOut | LinkError::Silent) => {}
             }
             if unreachable >= UNREACHABLE_LIMIT {
                 return None;
--- a/goldcresttally-proxy/src/errors.rs
+++ b/goldcresttally-proxy/src/errors.rs
@@ -78,6 +78,8 @@
     Unreachable = "unreachable" => BAD_GATEWAY,
     /// The connection broke and nobody reachable knows the outcome.
     ConnectionLost = "connection-lost" => BAD_GATEWAY,
+    /// The node beside the upstream has gone silent.
+    Silent = "silent" => BAD_GATEWAY,
     /// The upstream answered that it failed.
     UpstreamFailed = "upstream-failed" => BAD_GATEWAY,
     /// The upstream's answer was cut or malformed.
--- a/goldcresttally-proxy/src/link/dial.rs
+++ b/goldcresttally-proxy/src/link/dial.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use goldcresttally_core::Deadline;
@@ -66,7 +65,6 @@
         };
         // How a connection ended is seen by the calls that it carried.
         self.tasks.spawn(async move { drop(connection.await) });
-        let heard_us = Arc::new(AtomicU64::new(self.clock().now().0));
-        Ok(Link { sender, heard_us })
+        Ok(Link { sender, opened: self.clock().now(), answered_us: Arc::default() })
     }
 }
--- a/goldcresttally-proxy/src/link/mod.rs
+++ b/goldcresttally-proxy/src/link/mod.rs
@@ -9,6 +9,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use goldcresttally_core::{Deadline, Map, MonoTime};
+use goldcresttally_routing::silence::PROBE_TIMEOUT_MS;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http2::SendRequest;
@@ -24,8 +25,9 @@
 /// not run twice, in milliseconds.
 const PROBE_AFTER_IDLE_MS: u64 = 1000;
 
-/// Time within which a probe must be answered, in milliseconds.
-const PROBE_TIMEOUT_MS: u64 = 500;
+/// Time within which a probe must be answered before a call that must not run twice is sent, in
+/// milliseconds.
+const FIRST_PROBE_TIMEOUT_MS: u64 = 500;
 
 /// How a request over a link failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +38,8 @@
     Lost,
     /// It was sent and the deadline has passed.
     TimedOut,
+    /// It was sent, and the connection brings nothing any more.
+    Silent,
 }
 
 /// How a request over one link failed.
@@ -60,7 +64,9 @@
 #[derive(Debug, Clone)]
 pub struct Link {
     sender: SendRequest<CallBody>,
-    heard_us: Arc<AtomicU64>,
+    opened: MonoTime,
+    /// When it last brought an answer; 0 before the first.
+    answered_us: Arc<AtomicU64>,
 }
 
 #[derive(Debug, Default)]
@@ -119,6 +125,49 @@
         Ok(link.send(self.clock(), req, deadline).await?)
     }
 
+    /// Sends a request like [`Self::send`], and checks after `check` whether the link is silent.
+    pub async fn send_checked(
+        &self,
+        to: SocketAddr,
+        req: Request<CallBody>,
+        deadline: Deadline,
+        probe: bool,
+        check: Duration,
+    ) -> Result<Response<Incoming>, LinkError> {
+        let sent_at = self.clock().now();
+        let mut sent = std::pin::pin!(self.send(to, req, deadline, probe));
+        if let Ok(sent) = tokio::time::timeout(check, &mut sent).await {
+            return sent;
+        }
+        tokio::select! {
+            sent = &mut sent => sent,
+            () = self.silence(to, sent_at) => Err(LinkError::Silent),
+        }
+    }
+
+    /// Returns once the kept link to a node is silent: it has brought no answer since `since` and
+    /// does not answer a probe. The link is given up then; while it is sound, this waits for ever.
+    async fn silence(&self, to: SocketAddr, since: MonoTime) {
+        let slot = self.slot(to);
+        let link = slot.link.load_full().filter(|link| link.answered() < since);
+        if let Some(link) = link
+            && !self.probe(&link, Duration::from_millis(PROBE_TIMEOUT_MS)).await
+        {
+            self.give_up(&slot, &link);
+            return;
+        }
+        std::future::pending().await
+    }
+
+    /// Has a silent link replaced; whatever still waits on it settles its own attempt.
+    fn give_up(&self, slot: &Slot, silent: &Arc<Link>) {
+        let held = slot.link.load();
+        if held.as_ref().is_some_and(|link| Arc::ptr_eq(link, silent)) {
+            self.state.counters.silent_links.add();
+            slot.link.store(None);
+        }
+    }
+
     /// Closes links to nodes for which `keep` does not hold.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         let held = self.slots.load();
@@ -142,12 +191,11 @@
     ) -> Result<Arc<Link>, LinkError> {
         let slot = self.slot(to);
         if let Some(link) = slot.link.load_full().filter(|l| !l.sender.is_closed()) {
-            if !probe || link.is_fresh(self.clock().now()) || self.probe(&link).await {
+            let limit = Duration::from_millis(FIRST_PROBE_TIMEOUT_MS);
+            if !probe || link.is_fresh(self.clock().now()) || self.probe(&link, limit).await {
                 return Ok(link);
             }
-            // The connection is silent: whatever still waits on it settles its own attempt.
-            self.state.counters.silent_links.add();
-            slot.link.store(None);
+            self.give_up(&slot, &link);
         }
         let asked = self.clock().now();
         let _dialing = slot.dialing.lock().await;
@@ -179,11 +227,11 @@
         self.slots.load().get(&to).map(Arc::clone).unwrap_or_default()
     }
 
-    async fn probe(&self, link: &Link) -> bool {
+    async fn probe(&self, link: &Link, limit: Duration) -> bool {
         let mut req = Request::new(full(""));
         *req.uri_mut() = http::Uri::from_static("http://node/");
         headers::set(req.headers_mut(), headers::OP, "ping");
-        let deadline = Deadline::after(self.clock().now(), Duration::from_millis(PROBE_TIMEOUT_MS));
+        let deadline = Deadline::after(self.clock().now(), limit);
         link.send(self.clock(), req, deadline).await.is_ok()
     }
 }
@@ -198,7 +246,7 @@
         let exchange = self.sender.clone().try_send_request(req);
         match tokio::time::timeout_at(clock.instant(deadline), exchange).await {
             Ok(Ok(response)) => {
-                self.heard_us.store(clock.now().0, Ordering::Relaxed);
+                self.answered_us.store(clock.now().0, Ordering::Relaxed);
                 Ok(response)
             }
             Ok(Err(mut error)) => match error.take_message() {
@@ -209,8 +257,12 @@
         }
     }
 
+    /// Returns when the link last brought an answer.
+    fn answered(&self) -> MonoTime {
+        MonoTime(self.answered_us.load(Ordering::Relaxed))
+    }
+
     fn is_fresh(&self, now: MonoTime) -> bool {
-        let heard = MonoTime(self.heard_us.load(Ordering::Relaxed));
-        now.since(heard) < Duration::from_millis(PROBE_AFTER_IDLE_MS)
+        now.since(self.answered().max(self.opened)) < Duration::from_millis(PROBE_AFTER_IDLE_MS)
     }
 }
--- a/goldcresttally-routing/src/ejection.rs
+++ b/goldcresttally-routing/src/ejection.rs
@@ -30,6 +30,13 @@
         endpoint.observed.eject(now + self.base);
     }
 
+    /// Leaves out an endpoint whose node has gone silent, at once and for longer each time until it
+    /// answers: each call that is tried on it loses much of its time.
+    pub fn on_silent(&self, now: MonoTime, endpoint: &Endpoint) {
+        let doublings = endpoint.observed.silent(now).min(3);
+        endpoint.observed.eject(now + self.base * (1 << doublings));
+    }
+
     /// Notes a failure of `endpoint`, one of `all`; returns whether it is left out now.
     pub fn on_failure(&self, now: MonoTime, endpoint: &Endpoint, all: &[Endpoint]) -> bool {
         let failures = endpoint.observed.failed();
--- a/goldcresttally-routing/src/endpoint.rs
+++ b/goldcresttally-routing/src/endpoint.rs
@@ -49,6 +49,8 @@
     /// By rank class.
     in_flight: [AtomicU32; RANK_CLASSES],
     failures: AtomicU32,
+    /// Silences since the last answer.
+    silences: AtomicU32,
     /// Share of calls that failed of late, in thousandths.
     failed_milli: AtomicU32,
     ejected_until_us: AtomicU64,
@@ -80,9 +82,19 @@
     /// Notes an answer.
     pub fn answered(&self) {
         self.failures.store(0, Ordering::Relaxed);
+        self.silences.store(0, Ordering::Relaxed);
         self.note_outcome(false);
     }
 
+    /// Notes that the node was silent; returns how often it had been since its last answer. Calls
+    /// that find out at the same time, while it is left out, count once.
+    pub fn silent(&self, now: MonoTime) -> u32 {
+        match self.is_ejected(now) {
+            true => self.silences.load(Ordering::Relaxed).saturating_sub(1),
+            false => self.silences.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
     /// Notes a failure; returns how many have followed each other.
     pub fn failed(&self) -> u32 {
         self.note_outcome(true);
--- a/goldcresttally-routing/src/lib.rs
+++ b/goldcresttally-routing/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`budget`]: bounds retries to a share of the calls.
 //! * [`tries`]: whether a call that failed is tried again.
 //! * [`patience`]: tells calls that were refused before from fresh ones.
+//! * [`silence`]: when a node is suspected to be silent.
 //! * [`throttle`]: refuses early what the upstreams would refuse anyway.
 
 pub mod budget;
@@ -17,6 +18,7 @@
 pub mod load;
 pub mod patience;
 pub mod picker;
+pub mod silence;
 pub mod throttle;
 pub mod tries;
 
