Log that never blocks, bounded warnings with a count of what was left out, reload by SIGHUP

The console appender waits for a reader that has stopped: lines go to a pipe that is ready, the others are counted (goldcresttallyd/tests/slow_reader.rs). 500 unreadable datagrams wrote 200 to 290 lines and told of those left out only with the next one: warnings are bounded to 20 in 10 s and the count is flushed (line_limit.rs). SIGHUP ended goldcresttallyd; it reloads, as the sidecar did, by one Node::reload (settings_reload.rs fails before). Two Host headers are answered 400: a test of what stood already.

--- a/goldcresttally-proxy/src/link/mod.rs
+++ b/goldcresttally-proxy/src/link/mod.rs
@@ -156,7 +156,7 @@
             self.give_up(&slot, &link);
             return;
         }
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 
     /// Has a silent link replaced; whatever still waits on it settles its own attempt.
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -177,6 +177,11 @@
         self.allowance.store(Arc::new(allowance));
     }
 
+    /// Returns what all nodes together may spend on retries.
+    pub fn allowance(&self) -> RetryAllowance {
+        **self.allowance.load()
+    }
+
     /// Returns this node's part of what may be spent on retries.
     ///
     /// Calls are counted where they enter, so the share of them needs no division; the reserve is
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -22,6 +22,7 @@
 use super::Config;
 use super::command::{Command, ControlStatus, Traffic};
 use super::connections::Connections;
+use crate::events;
 use crate::settings::Settings;
 
 /// Interval at which the machines are told the time, in milliseconds.
@@ -30,6 +31,9 @@
 /// Shortest time between two tables of endpoints made from the view of members, in milliseconds.
 const VIEW_INTERVAL_MS: u64 = 200;
 
+/// Interval at which the log is told which lines were left out, in milliseconds.
+const LOG_FLUSH_MS: u64 = 5000;
+
 /// Time that tasks of the control thread have to end, in milliseconds.
 const STOP_LIMIT_MS: u64 = 200;
 
@@ -67,6 +71,8 @@
     pub view_changed: Cell<bool>,
     /// When endpoints may be made from the view again.
     pub next_view: Cell<Deadline>,
+    /// When it is next told which log lines were left out.
+    pub next_flush: Cell<Deadline>,
     pub joined: Cell<bool>,
     pub joining: Cell<bool>,
     pub joins_served: Cell<(u64, u32)>,
@@ -116,6 +122,7 @@
             traffic,
             view_changed: Cell::new(true),
             next_view: Cell::new(Deadline(now)),
+            next_flush: Cell::new(Deadline(now)),
             joined: Cell::new(settings.node.seeds.iter().all(|s| *s == id)),
             joining: Cell::new(false),
             joins_served: Cell::new((0, 0)),
@@ -168,6 +175,10 @@
         self.write_claims_if_due();
         self.peer.tick();
         let now = self.now();
+        if self.next_flush.get().is_past(now) {
+            self.next_flush.set(Deadline::after(now, Duration::from_millis(LOG_FLUSH_MS)));
+            events::flush();
+        }
         if self.view_changed.get() && self.next_view.get().is_past(now) {
             self.view_changed.set(false);
             let interval = Duration::from_millis(VIEW_INTERVAL_MS);
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -74,12 +74,16 @@
 /// Lines of one kind in one window; more are counted and left out.
 const LINES_PER_WINDOW: u32 = 200;
 
+/// Warnings of one kind in one window: whoever reads them learns nothing from more.
+const WARNINGS_PER_WINDOW: u32 = 20;
+
 /// The window, in milliseconds.
 const WINDOW_MS: u64 = 10_000;
 
 /// Bounds the lines of one kind of event.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LineLimit {
+    limit: u32,
     window: u64,
     lines: u32,
     left_out: u32,
@@ -95,6 +99,20 @@
 }
 
 impl LineLimit {
+    /// Returns the limit of events of a level.
+    pub fn of(level: Level) -> Self {
+        let limit = if level <= Level::Warn { WARNINGS_PER_WINDOW } else { LINES_PER_WINDOW };
+        Self { limit, window: 0, lines: 0, left_out: 0 }
+    }
+
+    /// Returns the lines that were left out in windows that have ended, once.
+    pub fn on_quiet(&mut self, now_ms: u64) -> Option<u32> {
+        if self.left_out == 0 || now_ms / WINDOW_MS == self.window {
+            return None;
+        }
+        Some(std::mem::take(&mut self.left_out))
+    }
+
     /// Decides on one line at `now_ms`, in milliseconds since some origin.
     pub fn on_line(&mut self, now_ms: u64) -> Line {
         let window = now_ms / WINDOW_MS;
@@ -102,7 +120,7 @@
             self.window = window;
             self.lines = 0;
         }
-        if self.lines >= LINES_PER_WINDOW {
+        if self.lines >= self.limit {
             self.left_out += 1;
             return Line::LeaveOut;
         }
@@ -120,7 +138,7 @@
     }
     let line = {
         let mut limits = LIMITS.lock().unwrap_or_else(PoisonError::into_inner);
-        limits.entry(kind.number).or_default().on_line(wall_ms())
+        limits.entry(kind.number).or_insert_with(|| LineLimit::of(kind.level)).on_line(wall_ms())
     };
     let EventKind { number, level, title } = kind;
     match line {
@@ -134,6 +152,22 @@
     }
 }
 
+/// Writes how many lines of each kind were left out in windows that have ended; to be called
+/// from time to time.
+pub fn flush() {
+    let now = wall_ms();
+    for kind in CATALOGUE {
+        let left_out = {
+            let mut limits = LIMITS.lock().unwrap_or_else(PoisonError::into_inner);
+            limits.get_mut(&kind.number).and_then(|limit| limit.on_quiet(now))
+        };
+        if let Some(n) = left_out {
+            let EventKind { number, level, title } = *kind;
+            log::log!(target: "goldcresttally", level, "E{number} {title}: left_out={n}");
+        }
+    }
+}
+
 /// Writes decisions about calls to the log.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct EventLog;
--- a/goldcresttallyd/src/logging.rs
+++ b/goldcresttallyd/src/logging/mod.rs
@@ -1,12 +1,16 @@
 //! Sets up the log.
 
+pub mod pipe;
+
+use std::os::fd::AsFd;
+
 use log::LevelFilter;
-use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::append::file::FileAppender;
 use log4rs::config::{Appender, Config, Logger, Root};
 use log4rs::encode::pattern::PatternEncoder;
 
 use crate::settings::LogSettings;
+use pipe::PipeAppender;
 
 /// One line per event: time, level and text.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
@@ -19,8 +23,9 @@
         let file = file.map_err(|e| format!("log.file {path}: {e}"))?;
         Appender::builder().build("main", Box::new(file))
     } else {
-        let console = ConsoleAppender::builder().target(Target::Stdout).encoder(encoder());
-        Appender::builder().build("main", Box::new(console.build()))
+        let fd = std::io::stdout().as_fd().try_clone_to_owned();
+        let fd = fd.map_err(|e| format!("standard output: {e}"))?;
+        Appender::builder().build("main", Box::new(PipeAppender::new(fd, encoder())))
     };
     let level: LevelFilter = settings.level.into();
     let config = Config::builder()
--- a/goldcresttallyd/src/main.rs
+++ b/goldcresttallyd/src/main.rs
@@ -4,6 +4,7 @@
 
 use getopts::Options;
 use goldcresttally_core::Generation;
+use goldcresttallyd::events::{self, emit};
 use goldcresttallyd::{Deps, Node, Settings, logging};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -55,7 +56,7 @@
         .enable_all()
         .build()
         .map_err(|e| e.to_string())?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(&path, settings))
 }
 
 fn options() -> Options {
@@ -67,13 +68,13 @@
     options
 }
 
-async fn serve(settings: Settings) -> Result<ExitCode, String> {
+async fn serve(path: &str, settings: Settings) -> Result<ExitCode, String> {
     let mut after_generation = Generation(0);
     loop {
         let deps = Deps { after_generation, ..Deps::default() };
         let node =
             Node::start(settings.clone(), deps).await.map_err(|e| format!("cannot start: {e}"))?;
-        match run_until_end(node).await? {
+        match run_until_end(path, node).await? {
             End::Stopped => return Ok(ExitCode::SUCCESS),
             End::Overrun => return Ok(ExitCode::FAILURE),
             End::Superseded(generation) => after_generation = generation,
@@ -81,17 +82,30 @@
     }
 }
 
-async fn run_until_end(node: Node) -> Result<End, String> {
+async fn run_until_end(path: &str, node: Node) -> Result<End, String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        () = node.ended() => {
-            let seen = node.state().latest_generation();
-            node.stop().await;
-            return Ok(End::Superseded(seen));
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(path, &node),
+            () = node.ended() => {
+                let seen = node.state().latest_generation();
+                node.stop().await;
+                return Ok(End::Superseded(seen));
+            }
         }
     }
     Ok(if node.stop().await { End::Stopped } else { End::Overrun })
 }
+
+/// Reads the settings again; wrong ones change nothing.
+fn reload(path: &str, node: &Node) {
+    let read = std::fs::read_to_string(path).map_err(|e| e.to_string());
+    match read.and_then(|text| Settings::parse(&text).map_err(|e| e.to_string())) {
+        Ok(settings) => node.reload(&settings),
+        Err(e) => emit(events::SETTINGS_REFUSED, format_args!("{path}: {e}")),
+    }
+}
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -208,6 +208,16 @@
         &self.settings
     }
 
+    /// Takes over what of changed settings may change while the node runs; the rest holds from the
+    /// next start on.
+    pub fn reload(&self, settings: &Settings) {
+        let allowance = settings.retry_allowance();
+        if allowance != self.state.allowance() {
+            self.state.set_allowance(allowance);
+            emit(events::SETTINGS_RELOADED, format_args!("retry budget"));
+        }
+    }
+
     /// Returns what the request path reads.
     pub fn state(&self) -> &Arc<State> {
         &self.state
--- a/tally-lab/tests/bad_input.rs
+++ b/tally-lab/tests/bad_input.rs
@@ -87,6 +87,8 @@
     assert!(send(entry, b"GET / HTTP/1.1\r\nhost: a\r\nbad header\r\n\r\n").await.contains("400"));
     let huge = format!("GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n", "y".repeat(80_000));
     assert!(send(entry, huge.as_bytes()).await.contains("431"));
+    let two_hosts = "GET /booking/urgent/read HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n";
+    assert!(send(entry, two_hosts.as_bytes()).await.starts_with("HTTP/1.1 400"));
     let smuggled = "POST /booking/urgent/write HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\
         content-length: 5\r\n\r\nabcd";
     assert!(send(entry, smuggled.as_bytes()).await.contains("400"));
