An end that is heard first is remembered; the reserve of retries holds over restarts and partial views

The registry remembers ends of processes that it never knew (an_end_is_heard_first fails before).

A node that had just started counted itself as the only member, and each restart gave it its part of the reserve anew.

--- a/goldcresttally-membership/src/registry.rs
+++ b/goldcresttally-membership/src/registry.rs
@@ -1,5 +1,6 @@
 //! The upstreams that announce themselves to this node, under leases.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,6 +11,10 @@
 /// Duration of a lease that is not renewed, in milliseconds, unless the settings say otherwise.
 pub const LEASE_MS: u64 = 3000;
 
+/// Ended processes that are remembered: those of one VM over a quarter of an hour of restarts
+/// every ten seconds or so.
+const ENDED_LIMIT: usize = 100;
+
 /// What an upstream says of itself, at first and with every renewal.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Announcement {
@@ -77,6 +82,9 @@
     lease: Duration,
     leases: Map<(ServiceName, SocketAddr), Lease>,
     latest: Map<SocketAddr, Latest>,
+    /// Processes that have ended, the latest last, whether or not they were known: a node that has
+    /// just started may hear of an end first, and then what the process had said before.
+    ended: VecDeque<(InstanceId, Generation)>,
 }
 
 impl Default for Registry {
@@ -88,12 +96,15 @@
 impl Registry {
     /// Returns a registry whose leases last for `lease`.
     pub fn new(lease: Duration) -> Self {
-        Self { lease, leases: Map::default(), latest: Map::default() }
+        Self { lease, leases: Map::default(), latest: Map::default(), ended: VecDeque::new() }
     }
 
     /// Takes or renews a lease.
     pub fn announce(&mut self, now: MonoTime, announcement: Announcement) -> Announced {
         if let Some(process) = &announcement.process {
+            if self.has_ended(process) {
+                return Announced::Stale;
+            }
             match self.order(announcement.address, process) {
                 Order::Stale => return Announced::Stale,
                 Order::Same => {}
@@ -123,6 +134,13 @@
         Announced::Changed
     }
 
+    fn has_ended(&self, process: &UpstreamProcess) -> bool {
+        let is_it = |(instance, last): &(InstanceId, Generation)| {
+            *instance == process.instance && process.generation <= *last
+        };
+        self.ended.iter().any(is_it)
+    }
+
     /// Orders an announcement of `process` after what is known at the address.
     fn order(&self, address: SocketAddr, process: &UpstreamProcess) -> Order {
         let Some(latest) = self.latest.get(&address) else { return Order::Later };
@@ -153,6 +171,10 @@
         let ends = |p: &UpstreamProcess| {
             p.instance == *instance && generation.is_none_or(|g| g >= p.generation)
         };
+        self.ended.push_back((instance.clone(), generation.unwrap_or(Generation(0))));
+        if self.ended.len() > ENDED_LIMIT {
+            self.ended.pop_front();
+        }
         for latest in self.latest.values_mut().filter(|l| ends(&l.process)) {
             latest.withdrawn = true;
         }
--- a/goldcresttally-membership/tests/upstream_processes.rs
+++ b/goldcresttally-membership/tests/upstream_processes.rs
@@ -71,3 +71,16 @@
         Ok(())
     });
 }
+
+#[test]
+fn an_end_is_heard_first() {
+    // The node has just started: the process's last heartbeat comes after its end.
+    let mut registry = Registry::default();
+    let id = "i-1".parse().unwrap();
+    assert!(registry.withdraw_process(&id, Some(Generation(5))).is_none());
+    assert_eq!(registry.announce(NOW, says("i-1", 5, 9, UpstreamState::Ready)), Announced::Stale);
+    assert_eq!(states(&registry), []);
+    // The same name, started again, and another name.
+    assert_eq!(registry.announce(NOW, says("i-1", 6, 1, UpstreamState::Ready)), Announced::Changed);
+    assert_eq!(registry.announce(NOW, says("i-2", 7, 1, UpstreamState::Ready)), Announced::Changed);
+}
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -9,7 +9,7 @@
 use goldcresttally_config::Snapshot;
 use goldcresttally_core::{AttemptId, Deadline, Generation, Map, MonoTime, NodeId, ServiceName};
 use goldcresttally_routing::{
-    BudgetOptions, ClassTable, Endpoint, Patience, RetryBudget, Throttles,
+    BudgetOptions, ClassTable, Endpoint, Patience, RetryAllowance, RetryBudget, Throttles,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -46,21 +46,6 @@
     pub bytes: Arc<ClassTable>,
 }
 
-/// Retries that all nodes together may make to one service.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RetryAllowance {
-    /// What all nodes together may spend.
-    pub total: BudgetOptions,
-    /// Share of it that is spent; the rest is left for the runs that a repeated run causes.
-    pub spend: f64,
-}
-
-impl Default for RetryAllowance {
-    fn default() -> Self {
-        Self { total: BudgetOptions::default(), spend: 1.0 }
-    }
-}
-
 /// The snapshot in force, with the limits of each service and rank at the entry.
 #[derive(Debug, Default)]
 pub struct Serving {
@@ -111,7 +96,7 @@
     /// Takes what is decided about calls.
     pub call_log: Arc<dyn CallLog>,
     allowance: ArcSwap<RetryAllowance>,
-    /// The most members seen at once, this node included.
+    /// The most members seen at once, this node included; 0 until the others are known.
     members: AtomicUsize,
     serving: ArcSwap<Serving>,
     endpoints: ArcSwap<EndpointTable>,
@@ -140,7 +125,7 @@
             clock,
             conventions,
             allowance: ArcSwap::default(),
-            members: AtomicUsize::new(1),
+            members: AtomicUsize::new(0),
             counters: Counters::default(),
             serving: ArcSwap::default(),
             endpoints: ArcSwap::default(),
@@ -183,17 +168,9 @@
     }
 
     /// Returns this node's part of what may be spent on retries.
-    ///
-    /// Calls are counted where they enter, so the share of them needs no division; the reserve is
-    /// divided by the most members ever seen, as those out of sight may still spend theirs.
     pub fn retry_options(&self) -> BudgetOptions {
-        let allowance = self.allowance.load();
-        let members = self.members.load(Ordering::Relaxed).max(1) as f64;
-        BudgetOptions {
-            share: allowance.total.share * allowance.spend,
-            reserve: allowance.total.reserve * allowance.spend / members,
-            window: allowance.total.window,
-        }
+        let age = self.clock.now().since(MonoTime::default());
+        self.allowance.load().part(self.members.load(Ordering::Relaxed), age)
     }
 
     /// Notes how many members are seen, this node included.
--- a/goldcresttally-routing/src/budget.rs
+++ b/goldcresttally-routing/src/budget.rs
@@ -30,6 +30,39 @@
     }
 }
 
+/// Retries that all nodes together may make to one service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryAllowance {
+    /// What all nodes together may spend.
+    pub total: BudgetOptions,
+    /// Share of it that is spent; the rest is left for the runs that a repeated run causes.
+    pub spend: f64,
+}
+
+impl Default for RetryAllowance {
+    fn default() -> Self {
+        Self { total: BudgetOptions::default(), spend: 1.0 }
+    }
+}
+
+impl RetryAllowance {
+    /// Returns the part of one node that runs for `age` and of which at most `members` were ever
+    /// seen, 0 when it does not know yet.
+    ///
+    /// Calls are counted where they enter, so the share of them needs no division. The reserve is
+    /// divided by the most members ever seen, as those out of sight may still spend theirs. A node
+    /// that does not know the others has none of it; nor has a process in its first window, since
+    /// the one before it may have spent that part.
+    pub fn part(&self, members: usize, age: Duration) -> BudgetOptions {
+        let reserve = match members {
+            0 => 0.0,
+            _ if age < self.total.window => 0.0,
+            n => self.total.reserve * self.spend / n as f64,
+        };
+        BudgetOptions { share: self.total.share * self.spend, reserve, window: self.total.window }
+    }
+}
+
 /// Counts calls and retries over a sliding window; shared by the threads that serve calls.
 ///
 /// Each bucket packs the period that it counts, so that an old one is told from the current one
--- a/goldcresttally-routing/src/lib.rs
+++ b/goldcresttally-routing/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod throttle;
 pub mod tries;
 
-pub use budget::{BudgetOptions, RetryBudget};
+pub use budget::{BudgetOptions, RetryAllowance, RetryBudget};
 pub use class_table::{ClassTable, class_key, late_key};
 pub use ejection::Ejection;
 pub use endpoint::{Endpoint, Locality, Observed};
--- a/goldcresttallyd/src/control/view.rs
+++ b/goldcresttallyd/src/control/view.rs
@@ -29,7 +29,9 @@
         let live: Set<_> = records.iter().map(|r| r.peer).collect();
         self.links.iter().for_each(|links| links.retain(|to| live.contains(to)));
         let state = self.peer.state();
-        state.note_members(records.len());
+        if self.joined.get() {
+            state.note_members(records.len().max(self.listed.borrow().len()));
+        }
         let table = self.endpoints(&records, &state.endpoints());
         state.set_endpoints(table);
     }
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -6,8 +6,8 @@
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership as membership;
 use goldcresttally_proxy::Conventions;
-use goldcresttally_proxy::state::RetryAllowance;
 use goldcresttally_routing::BudgetOptions;
+use goldcresttally_routing::RetryAllowance;
 use http::HeaderName;
 
 use super::{ConventionSettings, Settings};
