A node that has just started confirms what it hears first of an older process beside it

Ruled out: the order of admission (same faults, the acks and the late heartbeats do not depend on it).

--- a/goldcresttally-config/src/document.rs
+++ b/goldcresttally-config/src/document.rs
@@ -57,6 +57,8 @@
     pub max_connections: Option<u32>,
     /// Most calls that wait at one upstream.
     pub queue: u32,
+    /// Path at which an upstream tells whether it takes calls, where it does.
+    pub health_path: Option<Arc<str>>,
     /// Share of calls that the service means to answer well and in time.
     pub objective: Share,
 }
@@ -69,6 +71,7 @@
             adaptive_limit: true,
             max_connections: None,
             queue: 64,
+            health_path: None,
             objective,
         }
     }
--- a/goldcresttally-config/src/snapshot/build.rs
+++ b/goldcresttally-config/src/snapshot/build.rs
@@ -77,6 +77,7 @@
                 adaptive_limit: spec.adaptive_limit,
                 max_connections: spec.max_connections,
                 queue: spec.queue,
+                health_path: spec.health_path.clone(),
                 objective: spec.objective,
             });
             if self.services.insert(name.clone(), service).is_some() {
--- a/goldcresttally-membership/src/registry.rs
+++ b/goldcresttally-membership/src/registry.rs
@@ -1,6 +1,7 @@
 //! The upstreams that announce themselves to this node, under leases.
 
 use std::collections::VecDeque;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,6 +31,17 @@
     pub process: Option<UpstreamProcess>,
 }
 
+impl fmt::Display for Announcement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { service, address, slots, state, process } = self;
+        write!(f, "{service} at {address} with {slots} slots, {state}")?;
+        let Some(UpstreamProcess { instance, generation, sequence }) = process else {
+            return Ok(());
+        };
+        write!(f, " instance={instance}/{generation} sequence={sequence}")
+    }
+}
+
 /// Orders what the processes that run in turn at one address say of themselves.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamProcess {
@@ -55,6 +67,9 @@
     Changed,
     /// The lease was renewed.
     Renewed,
+    /// It is the first that is heard of a process that ran before this one started, and may have
+    /// been on its way since before the process's end; it counts once it is confirmed, or repeated.
+    Doubtful,
     /// It was overtaken: a later announcement, a later process or the end of the process is known.
     Stale,
 }
@@ -82,6 +97,10 @@
     lease: Duration,
     leases: Map<(ServiceName, SocketAddr), Lease>,
     latest: Map<SocketAddr, Latest>,
+    /// The start of this process, as a generation; 0 doubts nothing.
+    started: Generation,
+    /// What was heard first of processes older than this one.
+    doubtful: Map<SocketAddr, Announcement>,
     /// Processes that have ended, the latest last, whether or not they were known: a node that has
     /// just started may hear of an end first, and then what the process had said before.
     ended: VecDeque<(InstanceId, Generation)>,
@@ -96,7 +115,20 @@
 impl Registry {
     /// Returns a registry whose leases last for `lease`.
     pub fn new(lease: Duration) -> Self {
-        Self { lease, leases: Map::default(), latest: Map::default(), ended: VecDeque::new() }
+        Self {
+            lease,
+            leases: Map::default(),
+            latest: Map::default(),
+            started: Generation(0),
+            doubtful: Map::default(),
+            ended: VecDeque::new(),
+        }
+    }
+
+    /// Has processes doubted that run since before `started`, on the scale of their generations,
+    /// until what is heard of them first is confirmed.
+    pub fn doubt_older_than(&mut self, started: Generation) {
+        self.started = started;
     }
 
     /// Takes or renews a lease.
@@ -105,6 +137,11 @@
             if self.has_ended(process) {
                 return Announced::Stale;
             }
+            if self.is_doubtful(&announcement, process) {
+                self.doubtful.insert(announcement.address, announcement);
+                return Announced::Doubtful;
+            }
+            self.doubtful.remove(&announcement.address);
             match self.order(announcement.address, process) {
                 Order::Stale => return Announced::Stale,
                 Order::Same => {}
@@ -134,9 +171,35 @@
         Announced::Changed
     }
 
+    /// Takes a doubtful announcement as true: the process has confirmed it since.
+    pub fn confirm(&mut self, now: MonoTime, address: SocketAddr, instance: &InstanceId) -> bool {
+        let is_it = |a: &Announcement| a.process.as_ref().is_some_and(|p| p.instance == *instance);
+        if !self.doubtful.get(&address).is_some_and(is_it) {
+            return false;
+        }
+        let Some(announcement) = self.doubtful.remove(&address) else { return false };
+        let process = announcement.process.clone();
+        let latest = process.map(|process| Latest { process, withdrawn: false });
+        self.latest.extend(latest.map(|latest| (address, latest)));
+        self.renew(now, announcement) == Announced::Changed
+    }
+
+    fn is_doubtful(&self, announcement: &Announcement, process: &UpstreamProcess) -> bool {
+        let known =
+            self.latest.get(&announcement.address).is_some_and(|l| l.process.is_same(process));
+        let older = process.generation > Generation(0) && process.generation < self.started;
+        let draining = announcement.state == UpstreamState::Draining;
+        let repeated = self.doubtful.get(&announcement.address).and_then(|a| a.process.as_ref());
+        let repeated =
+            repeated.is_some_and(|p| p.is_same(process) && p.sequence < process.sequence);
+        !known && older && !draining && !repeated
+    }
+
     fn has_ended(&self, process: &UpstreamProcess) -> bool {
         let is_it = |(instance, last): &(InstanceId, Generation)| {
-            *instance == process.instance && process.generation <= *last
+            // Of a process that tells no generation, an end says nothing about the next one.
+            let told = process.generation > Generation(0);
+            told && *instance == process.instance && process.generation <= *last
         };
         self.ended.iter().any(is_it)
     }
@@ -175,6 +238,7 @@
         if self.ended.len() > ENDED_LIMIT {
             self.ended.pop_front();
         }
+        self.doubtful.retain(|_, a| !a.process.as_ref().is_some_and(ends));
         for latest in self.latest.values_mut().filter(|l| ends(&l.process)) {
             latest.withdrawn = true;
         }
--- a/goldcresttally-membership/tests/upstream_processes.rs
+++ b/goldcresttally-membership/tests/upstream_processes.rs
@@ -84,3 +84,42 @@
     assert_eq!(registry.announce(NOW, says("i-1", 6, 1, UpstreamState::Ready)), Announced::Changed);
     assert_eq!(registry.announce(NOW, says("i-2", 7, 1, UpstreamState::Ready)), Announced::Changed);
 }
+
+#[test]
+fn a_first_announcement_may_be_late() {
+    // This node has started after the process, which may have left meanwhile.
+    let mut registry = Registry::default();
+    registry.doubt_older_than(Generation(10));
+    let ready = |sequence| says("i-1", 5, sequence, UpstreamState::Ready);
+    assert_eq!(registry.announce(NOW, ready(31)), Announced::Doubtful);
+    assert_eq!(registry.announce(NOW, ready(30)), Announced::Doubtful);
+    assert_eq!(states(&registry), []);
+    // A later one, or its own word, tells that it still runs.
+    assert_eq!(registry.announce(NOW, ready(32)), Announced::Changed);
+    assert_eq!(states(&registry), [UpstreamState::Ready]);
+    let mut registry = Registry::default();
+    registry.doubt_older_than(Generation(10));
+    let (address, id) = ("127.0.0.1:80".parse().unwrap(), "i-1".parse().unwrap());
+    registry.announce(NOW, ready(31));
+    assert!(registry.confirm(NOW, address, &id));
+    assert_eq!(states(&registry), [UpstreamState::Ready]);
+    assert_eq!(registry.announce(NOW, ready(32)), Announced::Renewed);
+}
+
+#[test]
+fn what_has_left_is_not_confirmed() {
+    let mut registry = Registry::default();
+    registry.doubt_older_than(Generation(10));
+    let (address, id) = ("127.0.0.1:80".parse().unwrap(), "i-1".parse().unwrap());
+    registry.announce(NOW, says("i-1", 5, 31, UpstreamState::Ready));
+    registry.withdraw_process(&id, Some(Generation(9)));
+    assert!(!registry.confirm(NOW, address, &id));
+    assert_eq!(states(&registry), []);
+    // A draining one needs no proof, and one that has started since is no old news.
+    let drains = says("i-2", 6, 7, UpstreamState::Draining);
+    assert_eq!(registry.announce(NOW, drains), Announced::Changed);
+    assert_eq!(
+        registry.announce(NOW, says("i-3", 11, 1, UpstreamState::Ready)),
+        Announced::Changed
+    );
+}
--- a/goldcresttally-proxy/src/conventions.rs
+++ b/goldcresttally-proxy/src/conventions.rs
@@ -18,6 +18,8 @@
     pub call_id: Option<HeaderName>,
     /// Names to the upstream the process that is to run the call; another one answers 421.
     pub target_instance: Option<HeaderName>,
+    /// Names the process that answers a question about its health.
+    pub health_instance: Option<HeaderName>,
     /// Names to the upstream the service beside the node at which the call entered.
     pub caller_service: Option<HeaderName>,
     /// Without this header a successful answer is not an upstream's.
@@ -67,6 +69,7 @@
             not_run: headers::NOT_RUN,
             call_id: None,
             target_instance: None,
+            health_instance: None,
             caller_service: None,
             signature: None,
             close_delimited: false,
--- /dev/null
+++ b/goldcresttally-proxy/src/peer/health.rs
@@ -0,0 +1,45 @@
+//! Asks an upstream beside this node whether it takes calls.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use goldcresttally_core::{InstanceId, ServiceName};
+use http::header::HOST;
+use http::{Request, StatusCode};
+
+use super::Peer;
+use super::upstream::UpstreamPool;
+use crate::body::full;
+use crate::headers;
+
+/// Time within which the answer must come, in milliseconds: the upstream may have to finish a
+/// call first. Without one, its next announcement tells.
+const HEALTH_TIMEOUT_MS: u64 = 1000;
+
+impl Peer {
+    /// Tells whether the process `instance` at `address` says that it takes calls; false also when
+    /// it cannot be asked.
+    pub async fn is_healthy(
+        &self,
+        service: &ServiceName,
+        address: SocketAddr,
+        instance: &InstanceId,
+    ) -> bool {
+        let serving = self.state.serving();
+        let path = serving.snapshot.service(service).and_then(|s| s.health_path.clone());
+        let Some(path) = path.and_then(|path| path.parse().ok()) else { return false };
+        let mut req = Request::new(full(""));
+        *req.uri_mut() = path;
+        headers::set(req.headers_mut(), HOST, &address);
+        let pool = UpstreamPool::new(address);
+        let limit = Duration::from_millis(HEALTH_TIMEOUT_MS);
+        let asked = pool.send(&*self.transport, &self.tasks, req);
+        let Ok(Ok((response, _connection))) = tokio::time::timeout(limit, asked).await else {
+            return false;
+        };
+        let name = self.state.conventions.health_instance.as_ref();
+        let named: Option<InstanceId> =
+            name.and_then(|name| headers::parse(response.headers(), name));
+        response.status() == StatusCode::OK && named.is_none_or(|named| named == *instance)
+    }
+}
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod detach;
 mod exchange;
 mod gate;
+mod health;
 mod run;
 mod settle;
 mod ticket;
--- a/goldcresttally-routing/src/budget.rs
+++ b/goldcresttally-routing/src/budget.rs
@@ -13,6 +13,10 @@
 
 const COUNT_MASK: u64 = (1 << COUNT_BITS) - 1;
 
+/// Share of its part of the reserve that a process has in its first window: with the usual spend
+/// of 0.42, all nodes may start twice in one window and keep within the whole.
+const YOUNG_SHARE: f64 = 0.5;
+
 /// What retries are bounded to.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetOptions {
@@ -51,13 +55,14 @@
     ///
     /// Calls are counted where they enter, so the share of them needs no division. The reserve is
     /// divided by the most members ever seen, as those out of sight may still spend theirs. A node
-    /// that does not know the others has none of it; nor has a process in its first window, since
-    /// the one before it may have spent that part.
+    /// that does not know the others has none of it, and a process in its first window a part of
+    /// its own, since the one before it may have spent the whole.
     pub fn part(&self, members: usize, age: Duration) -> BudgetOptions {
+        let own = |members: usize| self.total.reserve * self.spend / members as f64;
         let reserve = match members {
             0 => 0.0,
-            _ if age < self.total.window => 0.0,
-            n => self.total.reserve * self.spend / n as f64,
+            n if age < self.total.window => own(n) * YOUNG_SHARE,
+            n => own(n),
         };
         BudgetOptions { share: self.total.share * self.spend, reserve, window: self.total.window }
     }
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -92,6 +92,8 @@
             ..settings.distribution_options()
         };
         let lease = Duration::from_millis(settings.membership.lease_ms);
+        let mut registry = Registry::new(lease);
+        registry.doubt_older_than(config.own.generation);
         let machines = Machines {
             membership: Membership::new(
                 settings.membership_options(),
@@ -100,7 +102,7 @@
                 now,
             ),
             distribution: Distribution::new(options, own, config.seed + 1, now),
-            registry: Registry::new(lease),
+            registry,
             pacer: Pacer::new(config.seed + 2, now),
             batcher: Batcher::new(rate),
         };
--- a/goldcresttallyd/src/control/membership.rs
+++ b/goldcresttallyd/src/control/membership.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-use goldcresttally_core::{Generation, InstanceId, NodeId, ServiceName, Version};
+use goldcresttally_core::{Deadline, Generation, InstanceId, NodeId, ServiceName, Version};
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership::{Action, Announced, Announcement, Event, Message, Status};
+use goldcresttally_proxy::clock;
 use goldcresttally_wire::datagram;
 
 use super::command::{LaggingNode, Rollout};
@@ -15,6 +17,13 @@
 /// Members asked for their version at one look at a rollout.
 const ASK_LIMIT: usize = 400;
 
+/// Time for which a configuration is waited for to confirm an upstream, in milliseconds: an
+/// interval of announcements, since the next one confirms it too.
+const CONFIRM_LIMIT_MS: u64 = 1500;
+
+/// Interval at which it is looked for, in milliseconds.
+const CONFIRM_CHECK_MS: u64 = 20;
+
 impl Control {
     /// Gives an event to the machine and performs its actions.
     pub(super) fn on_members(self: &Rc<Self>, event: Event) {
@@ -84,26 +93,61 @@
         let details = announcement.clone();
         let announced = self.machines.borrow_mut().registry.announce(self.now(), announcement);
         if announced == Announced::Changed {
-            let details = format_args!(
-                "{} at {} with {} slots, {}",
-                details.service, details.address, details.slots, details.state
-            );
-            emit(events::UPSTREAM_ANNOUNCED, details);
+            emit(events::UPSTREAM_ANNOUNCED, format_args!("{details}"));
             self.publish_upstreams();
         }
+        match announced {
+            Announced::Stale => emit(events::ANNOUNCEMENT_STALE, format_args!("{details}")),
+            Announced::Doubtful => {
+                emit(events::ANNOUNCEMENT_DOUBTFUL, format_args!("{details}"));
+                let control = Rc::clone(self);
+                self.tasks.spawn_local(async move { control.confirm(details).await });
+            }
+            Announced::Changed | Announced::Renewed => {}
+        }
         announced
     }
 
+    /// Asks an upstream itself whether what was heard of it first still holds.
+    async fn confirm(self: Rc<Self>, announcement: Announcement) {
+        let Announcement { service, address, process: Some(process), .. } = &announcement else {
+            return;
+        };
+        // How to ask is in the configuration, which a node that has just started may not have.
+        let give_up = Deadline::after(self.now(), Duration::from_millis(CONFIRM_LIMIT_MS));
+        while !self.peer.state().is_ready() && !give_up.is_past(self.now()) {
+            tokio::time::sleep(Duration::from_millis(CONFIRM_CHECK_MS)).await;
+        }
+        if !self.peer.is_healthy(service, *address, &process.instance).await {
+            return;
+        }
+        let now = self.now();
+        if self.machines.borrow_mut().registry.confirm(now, *address, &process.instance) {
+            emit(events::UPSTREAM_ANNOUNCED, format_args!("{announcement}, confirmed by itself"));
+            self.publish_upstreams();
+        }
+    }
+
     pub(super) fn on_withdraw_process(
         self: &Rc<Self>,
         instance: &InstanceId,
         generation: Option<Generation>,
     ) -> bool {
-        let gone = self.machines.borrow_mut().registry.withdraw_process(instance, generation);
-        if let Some(gone) = &gone {
-            let details = format_args!("{instance} of {} at {}", gone.service, gone.address);
-            emit(events::UPSTREAM_WITHDRAWN, details);
-            self.publish_upstreams();
+        // Without a generation, it is the end of what has started by now.
+        let generation = generation.unwrap_or_else(|| Generation(clock::wall_ms()));
+        let gone = self.machines.borrow_mut().registry.withdraw_process(instance, Some(generation));
+        match &gone {
+            Some(gone) => {
+                let (service, address) = (&gone.service, gone.address);
+                let details =
+                    format_args!("{service} at {address} instance={instance}/{generation}");
+                emit(events::UPSTREAM_WITHDRAWN, details);
+                self.publish_upstreams();
+            }
+            None => {
+                let details = format_args!("not known here, instance={instance}/{generation}");
+                emit(events::UPSTREAM_WITHDRAWN, details);
+            }
         }
         gone.is_some()
     }
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -58,6 +58,8 @@
     UPSTREAM_WITHDRAWN = 1303 Info "upstream withdrew";
     UPSTREAM_UNREACHABLE = 1304 Warn "upstream takes no connections: lease ended";
     UPSTREAM_REFUSED = 1305 Warn "announcement refused";
+    ANNOUNCEMENT_STALE = 1306 Info "announcement of an upstream that has ended or was overtaken";
+    ANNOUNCEMENT_DOUBTFUL = 1307 Info "first announcement of an upstream older than this node: to be confirmed";
     SECTION_WRITTEN = 1401 Info "section draft written";
     VERSION_ACCEPTED = 1402 Info "document accepted";
     OPERATOR_REFUSED = 1403 Warn "operator request refused";
--- a/goldcresttallyd/src/logging/mod.rs
+++ b/goldcresttallyd/src/logging/mod.rs
@@ -2,8 +2,6 @@
 
 pub mod pipe;
 
-use std::os::fd::AsFd;
-
 use log::LevelFilter;
 use log4rs::append::file::FileAppender;
 use log4rs::config::{Appender, Config, Logger, Root};
@@ -23,9 +21,8 @@
         let file = file.map_err(|e| format!("log.file {path}: {e}"))?;
         Appender::builder().build("main", Box::new(file))
     } else {
-        let fd = std::io::stdout().as_fd().try_clone_to_owned();
-        let fd = fd.map_err(|e| format!("standard output: {e}"))?;
-        Appender::builder().build("main", Box::new(PipeAppender::new(fd, encoder())))
+        let appender = PipeAppender::new(std::io::stdout(), encoder());
+        Appender::builder().build("main", Box::new(appender))
     };
     let level: LevelFilter = settings.level.into();
     let config = Config::builder()
--- a/goldcresttallyd/src/logging/pipe.rs
+++ b/goldcresttallyd/src/logging/pipe.rs
@@ -1,7 +1,7 @@
 //! Writes log lines to a pipe or terminal whose reader may be slow or gone, without waiting for it.
 
 use std::fmt;
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::{AsFd, BorrowedFd};
 use std::sync::{Mutex, PoisonError};
 
 use log::Record;
@@ -15,8 +15,10 @@
 
 /// Writes lines that can be written at once, and counts the others.
 pub struct PipeAppender {
-    fd: OwnedFd,
+    fd: Box<dyn AsFd + Send + Sync>,
     encoder: Box<dyn Encode>,
+    /// Whether it can be asked if the descriptor is ready.
+    polls: bool,
     /// Lines lost since the last one written; held while a line is written, so that lines do not
     /// mix.
     lost: Mutex<u64>,
@@ -24,24 +26,23 @@
 
 impl fmt::Debug for PipeAppender {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("PipeAppender").field("fd", &self.fd).finish_non_exhaustive()
+        f.debug_struct("PipeAppender").field("fd", &self.fd.as_fd()).finish_non_exhaustive()
     }
 }
 
 impl PipeAppender {
-    /// Returns an appender that writes to `fd`.
-    pub fn new(fd: OwnedFd, encoder: Box<dyn Encode>) -> Self {
-        Self { fd, encoder, lost: Mutex::new(0) }
+    /// Returns an appender that writes to `fd`, which is ready now unless it cannot be polled.
+    pub fn new(fd: impl AsFd + Send + Sync + 'static, encoder: Box<dyn Encode>) -> Self {
+        let polls = is_ready(fd.as_fd());
+        Self { fd: Box::new(fd), encoder, polls, lost: Mutex::new(0) }
     }
+}
 
-    /// Tells whether a line can be written without waiting.
-    fn is_ready(&self) -> bool {
-        let mut fds = [PollFd::new(&self.fd, PollFlags::OUT)];
-        let now = Timespec { tv_sec: 0, tv_nsec: 0 };
-        let ready = poll(&mut fds, Some(&now));
-        // A file that cannot be polled, as on some systems, is always ready.
-        ready.is_err() || fds[0].revents().contains(PollFlags::OUT)
-    }
+/// Tells whether a line can be written without waiting.
+fn is_ready(fd: BorrowedFd<'_>) -> bool {
+    let mut fds = [PollFd::from_borrowed_fd(fd, PollFlags::OUT)];
+    let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+    poll(&mut fds, Some(&now)).is_ok() && fds[0].revents().contains(PollFlags::OUT)
 }
 
 impl Append for PipeAppender {
@@ -54,7 +55,7 @@
             line.push(b'\n');
         }
         let mut lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner);
-        if !self.is_ready() {
+        if self.polls && !is_ready(self.fd.as_fd()) {
             *lost += 1;
             return Ok(());
         }
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -78,6 +78,7 @@
             target_instance: name(&c.target_instance_header),
             caller_service: name(&c.caller_service_header),
             signature: name(&c.signature_header),
+            health_instance: name(&c.health_instance_header),
             close_delimited: c.close_delimited_answers,
             fractional_retry_after: c.fractional_retry_after,
             own_service: c.own_service.clone(),
@@ -145,7 +146,7 @@
 }
 
 impl ConventionSettings {
-    fn header_names(&self) -> [(&'static str, Option<&str>); 6] {
+    fn header_names(&self) -> [(&'static str, Option<&str>); 7] {
         [
             ("deadline_header", self.deadline_header.as_deref()),
             ("not_run_header", self.not_run_header.as_deref()),
@@ -153,6 +154,7 @@
             ("target_instance_header", self.target_instance_header.as_deref()),
             ("caller_service_header", self.caller_service_header.as_deref()),
             ("signature_header", self.signature_header.as_deref()),
+            ("health_instance_header", self.health_instance_header.as_deref()),
         ]
     }
 }
--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -192,6 +192,8 @@
     pub caller_service_header: Option<Arc<str>>,
     /// Header without which a successful answer is not an upstream's.
     pub signature_header: Option<Arc<str>>,
+    /// Header in which an upstream names its process when it is asked about its health.
+    pub health_instance_header: Option<Arc<str>>,
     /// Whether an answer may end with its connection.
     pub close_delimited_answers: bool,
     /// Whether `Retry-After` may have fractions of a second.
