--- a/goldcresttallyd/src/control/membership.rs
+++ b/goldcresttallyd/src/control/membership.rs
@@ -136,18 +136,14 @@
         // Without a generation, it is the end of what has started by now.
         let generation = generation.unwrap_or_else(|| Generation(clock::wall_ms()));
         let gone = self.machines.borrow_mut().registry.withdraw_process(instance, Some(generation));
-        match &gone {
-            Some(gone) => {
-                let (service, address) = (&gone.service, gone.address);
-                let details =
-                    format_args!("{service} at {address} instance={instance}/{generation}");
-                emit(events::UPSTREAM_WITHDRAWN, details);
-                self.publish_upstreams();
-            }
-            None => {
-                let details = format_args!("not known here, instance={instance}/{generation}");
-                emit(events::UPSTREAM_WITHDRAWN, details);
-            }
+        let process = format!("instance={instance}/{generation}");
+        let what = gone.as_ref().map_or_else(
+            || "not known here".to_owned(),
+            |gone| format!("{} at {}", gone.service, gone.address),
+        );
+        emit(events::UPSTREAM_WITHDRAWN, format_args!("{what} {process}"));
+        if gone.is_some() {
+            self.publish_upstreams();
         }
         gone.is_some()
     }
