--- a/goldcresttally-admission/tests/overload_on_time.rs
+++ b/goldcresttally-admission/tests/overload_on_time.rs
@@ -100,3 +100,20 @@
         assert!(answered > 0.97 * f64::from(short.offered), "{served:?}");
     }
 }
+
+#[test]
+fn sparse_rank_keeps_its_floor() {
+    // Floors of 12 and 8 in 100: 6.5 and 4.4 of 55 calls a second, of which a few more come.
+    let flood = Kind { rank: 0, per_s: 250.0, work_ms: 220.0, target_ms: 500, deadline_ms: 5000 };
+    let normal = Kind { rank: 1, per_s: 8.0, work_ms: 220.0, target_ms: 1000, deadline_ms: 5000 };
+    let least = Kind { rank: 2, per_s: 5.0, work_ms: 220.0, target_ms: 5000, deadline_ms: 5000 };
+    for seed in 1..=5 {
+        let served = play(&[Kind { ..flood }, Kind { ..normal }, Kind { ..least }], 60, seed);
+        let answered = |i: usize| f64::from(served[i].on_time + served[i].late);
+        let all: f64 = (0..3).map(answered).sum();
+        for (i, floor) in [(1, 0.12), (2, 0.08)] {
+            let kept = (floor * all).min(f64::from(served[i].offered));
+            assert!(answered(i) >= 0.9 * kept, "rank {i}: {served:?}");
+        }
+    }
+}
