--- a/goldcresttally-proxy/src/clock.rs
+++ b/goldcresttally-proxy/src/clock.rs
@@ -1,25 +1,38 @@
 //! Reads steady time for the decision crates.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use goldcresttally_core::{Deadline, MonoTime};
 use rustix::time::{ClockId, clock_gettime};
 
+/// Time by which a clock that nobody sets is ahead.
+static NOT_AHEAD: AtomicU64 = AtomicU64::new(0);
+
 /// The clock of one process; it goes on while the VM is suspended, unlike `Instant`.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     origin: Duration,
+    /// In microseconds.
+    ahead: &'static AtomicU64,
 }
 
 impl Clock {
     /// Returns a clock whose origin is now.
     pub fn start() -> Self {
-        Self { origin: since_boot() }
+        Self::start_ahead(&NOT_AHEAD)
+    }
+
+    /// Returns a clock that is ahead by as many microseconds as `ahead` holds: a test that adds to
+    /// it suspends the process for that time, as timers do not notice.
+    pub fn start_ahead(ahead: &'static AtomicU64) -> Self {
+        Self { origin: since_boot(), ahead }
     }
 
     /// Returns the time since the origin.
     pub fn now(&self) -> MonoTime {
-        MonoTime(since_boot().saturating_sub(self.origin).as_micros() as u64)
+        let elapsed = since_boot().saturating_sub(self.origin).as_micros() as u64;
+        MonoTime(elapsed + self.ahead.load(Ordering::Relaxed))
     }
 
     /// Returns the instant of a deadline, for timers.
--- a/goldcresttally-proxy/src/peer/gate.rs
+++ b/goldcresttally-proxy/src/peer/gate.rs
@@ -14,6 +14,7 @@
 use super::LocalUpstream;
 use super::ticket::Ticket;
 use super::upstream::UpstreamPool;
+use crate::clock::Clock;
 use crate::errors::{CallError, Reason};
 use crate::state::State;
 
@@ -72,7 +73,7 @@
 
 impl Gate {
     /// Returns the gate of an upstream.
-    pub fn new(upstream: &LocalUpstream) -> Self {
+    pub fn new(upstream: &LocalUpstream, clock: Clock) -> Self {
         let inner = Inner {
             admission: Admission::new(Options::default()),
             waiting: Map::default(),
@@ -81,7 +82,7 @@
         };
         Self {
             inner: Mutex::new(inner),
-            pool: UpstreamPool::new(upstream.address),
+            pool: UpstreamPool::new(upstream.address, clock),
             instance: upstream.instance.clone(),
             unreachable: AtomicU32::new(0),
         }
--- a/goldcresttally-proxy/src/peer/health.rs
+++ b/goldcresttally-proxy/src/peer/health.rs
@@ -31,7 +31,7 @@
         let mut req = Request::new(full(""));
         *req.uri_mut() = path;
         headers::set(req.headers_mut(), HOST, &address);
-        let pool = UpstreamPool::new(address);
+        let pool = UpstreamPool::new(address, self.state.clock);
         let limit = Duration::from_millis(HEALTH_TIMEOUT_MS);
         let asked = pool.send(&*self.transport, &self.tasks, req);
         let Ok(Ok((response, _connection))) = tokio::time::timeout(limit, asked).await else {
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -88,7 +88,8 @@
         for upstream in upstreams {
             let list = held.get(&upstream.service);
             let known = list.and_then(|l| l.iter().find(|g| g.is_for(upstream)));
-            let gate = known.map_or_else(|| Arc::new(Gate::new(upstream)), Arc::clone);
+            let gate =
+                known.map_or_else(|| Arc::new(Gate::new(upstream, self.state.clock)), Arc::clone);
             gate.configure(&self.state, upstream, self.policy);
             gates.entry(upstream.service.clone()).or_default().push(gate);
         }
--- a/goldcresttally-proxy/src/peer/upstream.rs
+++ b/goldcresttally-proxy/src/peer/upstream.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use goldcresttally_core::MonoTime;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -12,6 +13,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::CallBody;
+use crate::clock::Clock;
 use crate::transport::Transport;
 use crate::workers;
 
@@ -45,7 +47,7 @@
 pub(super) struct Connection {
     sender: SendRequest<CallBody>,
     task: AbortHandle,
-    idle_since: Instant,
+    idle_since: MonoTime,
 }
 
 impl Drop for Connection {
@@ -58,14 +60,15 @@
 #[derive(Debug)]
 pub(super) struct UpstreamPool {
     address: SocketAddr,
+    clock: Clock,
     /// By worker, so that a connection is used on the thread that drives it.
     idle: Vec<Mutex<Vec<Connection>>>,
 }
 
 impl UpstreamPool {
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, clock: Clock) -> Self {
         let idle = (0..WORKER_LIMIT).map(|_| Mutex::default()).collect();
-        Self { address, idle }
+        Self { address, clock, idle }
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -105,7 +108,7 @@
         let Ok(Ok(())) = tokio::time::timeout(limit, connection.sender.ready()).await else {
             return;
         };
-        connection.idle_since = Instant::now();
+        connection.idle_since = self.clock.now();
         let mut idle = self.own_idle();
         if idle.len() < IDLE_CONNECTIONS {
             idle.push(connection);
@@ -120,7 +123,8 @@
     fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.own_idle();
         let limit = Duration::from_millis(IDLE_LIMIT_MS);
-        idle.retain(|c| c.idle_since.elapsed() < limit && !c.sender.is_closed());
+        let now = self.clock.now();
+        idle.retain(|c| now.since(c.idle_since) < limit && !c.sender.is_closed());
         idle.pop()
     }
 
@@ -139,6 +143,6 @@
             return Err(UpstreamError::NotSent);
         };
         let task = tasks.spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Connection { sender, task, idle_since: Instant::now() })
+        Ok(Connection { sender, task, idle_since: self.clock.now() })
     }
 }
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -40,6 +40,8 @@
     pub policy: Policy,
     /// Choices of the entry.
     pub entry: Options,
+    /// The clock; that of the VM when absent.
+    pub clock: Option<Clock>,
     /// Drives random choices.
     pub seed: u64,
     /// The generation of the process must be later than this.
@@ -58,6 +60,7 @@
             transport: None,
             policy: Policy::default(),
             entry: Options::default(),
+            clock: None,
             seed: fastrand::u64(..),
             after_generation: Generation(0),
             source: None,
@@ -95,7 +98,8 @@
         let generation = Generation(generation);
         let identity = Identity { node: id, peer: settings.node.peer, generation };
         let call_log = Arc::new(events::EventLog);
-        let state = State::new(identity, Clock::start(), settings.conventions(), call_log);
+        let clock = deps.clock.unwrap_or_else(Clock::start);
+        let state = State::new(identity, clock, settings.conventions(), call_log);
         let state = Arc::new(state);
         state.set_allowance(settings.retry_allowance());
         let tasks = TaskTracker::new();
--- a/tally-lab/src/fleet/mod.rs
+++ b/tally-lab/src/fleet/mod.rs
@@ -6,11 +6,13 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use goldcresttally_admission::Policy;
 use goldcresttally_cli::NodeClient;
 use goldcresttally_core::Generation;
+use goldcresttally_proxy::Clock;
 use goldcresttally_proxy::entry::Options;
 use goldcresttally_standin::upstream::{Announce, Behaviour, Record};
 use goldcresttally_standin::{Platform, Upstream};
@@ -68,6 +70,8 @@
     /// The upstream.
     pub upstream: Option<Upstream>,
     last_generation: Generation,
+    /// Time by which its clock is ahead of its timers, in microseconds.
+    ahead_us: &'static AtomicU64,
 }
 
 /// A platform and VMs.
@@ -87,8 +91,14 @@
     /// Starts a platform and one node in each place.
     pub async fn start(options: FleetOptions, places: Vec<Place>, seed: u64) -> io::Result<Self> {
         let platform = Platform::start(place::platform_address()).await?;
-        let empty =
-            |place| Vm { place, node: None, upstream: None, last_generation: Generation(0) };
+        let empty = |place| Vm {
+            place,
+            node: None,
+            upstream: None,
+            last_generation: Generation(0),
+            // Clocks are shared with all threads of a node, which may outlive the fleet.
+            ahead_us: Box::leak(Box::default()),
+        };
         let vms = places.into_iter().map(empty).collect();
         let mut fleet = Self { platform, network: Arc::default(), vms, options, seed };
         for i in 0..fleet.vms.len() {
@@ -103,6 +113,7 @@
         let vm = &mut self.vms[i];
         let deps = Deps {
             transport: Some(self.network.transport(vm.place.ip())),
+            clock: Some(Clock::start_ahead(vm.ahead_us)),
             policy: self.options.policy,
             entry: self.options.entry,
             seed: self.seed.wrapping_mul(1000) + i as u64,
@@ -146,6 +157,11 @@
         }
     }
 
+    /// Lets time pass at a VM that its timers do not notice, as while it is suspended.
+    pub fn suspend(&self, i: usize, time: Duration) {
+        self.vms[i].ahead_us.fetch_add(time.as_micros() as u64, Ordering::Relaxed);
+    }
+
     /// Stops the node of a VM as planned; returns whether all in flight ended.
     pub async fn stop_node(&mut self, i: usize) -> bool {
         match self.vms[i].node.take() {
