Logs tell who broke an attempt off, and what made its node count as silent

E2004 said reason=deadline for attempts that their entry had cancelled, whatever the reason, and E2001 said it for calls that a stopping node ended: a suspicion, a caller that left, a planned stop and a deadline looked alike. A cancellation now carries its reason; calls ended by the stop say stopped; E2005 tells of each attempt whose node did not answer a probe, with the time since the link's last answer and the time of the probe, which shows whether the node that writes the line was late itself. No decision changes.

--- a/goldcresttally-proxy/src/call_log.rs
+++ b/goldcresttally-proxy/src/call_log.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 
 use crate::errors::Reason;
+use crate::link::Silence;
 
 /// What is known of a call when something is decided about it.
 #[derive(Debug, Clone, Copy)]
@@ -67,6 +68,13 @@
         /// Why it failed.
         reason: Reason,
     },
+    /// An attempt is in doubt: its node does not answer a probe.
+    Doubted {
+        /// The node.
+        node: NodeId,
+        /// What speaks against it.
+        silence: Silence,
+    },
     /// Beside an upstream: an attempt was refused, or its answer not passed on.
     AttemptEnded {
         /// Whether it may have run.
@@ -92,6 +100,10 @@
             Self::Retried { node, verdict, reason } => {
                 write!(f, "node={} verdict={verdict} reason={reason}", at(node))
             }
+            Self::Doubted { node, silence: Silence { quiet, probe } } => {
+                let (quiet, probe) = (quiet.as_millis(), probe.as_millis());
+                write!(f, "node={node} quiet_ms={quiet} probe_ms={probe}")
+            }
             Self::AttemptEnded { verdict, reason, load: (running, waiting) } => {
                 write!(f, "verdict={verdict} reason={reason} running={running} waiting={waiting}")
             }
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -14,6 +14,7 @@
 use super::keyed::KeptBody;
 use super::observe::{InFlight, Watched};
 use crate::body::{BUFFER_LIMIT_BYTES, CallBody, Replay, boxed, full};
+use crate::call_log::CallEvent;
 use crate::errors::{CallError, Reason};
 use crate::headers;
 use crate::link::LinkError;
@@ -30,8 +31,12 @@
 impl Drop for CancelGuard {
     fn drop(&mut self) {
         if let Some(attempt) = self.attempt.take() {
+            let reason = match self.entry.state.is_ending() {
+                true => Reason::Stopped,
+                false => Reason::CallerGone,
+            };
             let entry = Arc::clone(&self.entry);
-            self.entry.tasks.spawn(async move { entry.cancel(&attempt).await });
+            self.entry.tasks.spawn(async move { entry.cancel(&attempt, reason).await });
         }
     }
 }
@@ -76,22 +81,27 @@
             Ok(response) => Ok(response.map(boxed)),
             Err(LinkError::NotSent) => Err(CallError::not_run(Reason::Unreachable)),
             Err(LinkError::TimedOut) => {
-                self.give_up(attempt);
+                self.give_up(attempt, Reason::Deadline);
                 Err(CallError::may_have_run(Reason::Deadline))
             }
-            // Asking takes longer than running an idempotent call elsewhere.
-            Err(LinkError::Silent) if self.route.idempotent => {
-                self.give_up(attempt);
-                Err(CallError::may_have_run(Reason::Silent))
+            Err(LinkError::Silent(silence)) => {
+                let node = attempt.endpoint.node;
+                self.note(CallEvent::Doubted { node, silence });
+                // Asking takes longer than running an idempotent call elsewhere.
+                if self.route.idempotent {
+                    self.give_up(attempt, Reason::Silent);
+                    return Err(CallError::may_have_run(Reason::Silent));
+                }
+                self.settle(attempt).await
             }
-            Err(LinkError::Lost | LinkError::Silent) => self.settle(attempt).await,
+            Err(LinkError::Lost) => self.settle(attempt).await,
         }
     }
 
     /// Tells the peer that nobody waits for an attempt any more.
-    fn give_up(&self, attempt: &Attempt) {
+    fn give_up(&self, attempt: &Attempt, reason: Reason) {
         let (entry, attempt) = (Arc::clone(&self.entry), attempt.clone());
-        self.entry.tasks.spawn(async move { entry.cancel(&attempt).await });
+        self.entry.tasks.spawn(async move { entry.cancel(&attempt, reason).await });
     }
 
     /// Tells a refusal from an answer, and reads a small answer to its end.
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -112,7 +112,7 @@
         let mut tries = Tries::default();
         let result = tokio::select! {
             result = call.run(body, &mut tries) => result,
-            () = self.state.ending() => Err(CallError::may_have_run(Reason::Deadline)),
+            () = self.state.ending() => Err(CallError::may_have_run(Reason::Stopped)),
         };
         let latency = self.state.clock.now().since(started);
         self.record(&call, &result, latency);
--- a/goldcresttally-proxy/src/entry/settle.rs
+++ b/goldcresttally-proxy/src/entry/settle.rs
@@ -58,7 +58,7 @@
                 Ok(Settlement::Running) => running = true,
                 Ok(settlement) => return Some(settlement),
                 Err(LinkError::NotSent) => unreachable += 1,
-                Err(LinkError::Lost | LinkError::TimedOut | LinkError::Silent) => {}
+                Err(LinkError::Lost | LinkError::TimedOut | LinkError::Silent(_)) => {}
             }
             if unreachable >= UNREACHABLE_LIMIT {
                 return None;
@@ -91,11 +91,12 @@
         }
     }
 
-    /// Tells the node of an attempt that its caller is gone.
-    pub(super) async fn cancel(&self, attempt: &Attempt) {
+    /// Tells the node of an attempt that nobody waits for it any more, and why.
+    pub(super) async fn cancel(&self, attempt: &Attempt, reason: Reason) {
         let limit = Duration::from_millis(CANCEL_TIMEOUT_MS);
         let deadline = Deadline::after(self.state.clock.now(), limit);
-        let req = self.control_request("cancel", attempt, deadline);
+        let mut req = self.control_request("cancel", attempt, deadline);
+        headers::set(req.headers_mut(), headers::REASON, &reason);
         if attempt.endpoint.node == self.state.identity.node {
             self.peer.answer(req).await;
             return;
--- a/goldcresttally-proxy/src/errors.rs
+++ b/goldcresttally-proxy/src/errors.rs
@@ -80,6 +80,10 @@
     ConnectionLost = "connection-lost" => BAD_GATEWAY,
     /// The node beside the upstream has gone silent.
     Silent = "silent" => BAD_GATEWAY,
+    /// The caller has closed its connection.
+    CallerGone = "caller-gone" => BAD_GATEWAY,
+    /// The node that took the call had to end.
+    Stopped = "stopped" => GATEWAY_TIMEOUT,
     /// The upstream answered that it failed.
     UpstreamFailed = "upstream-failed" => BAD_GATEWAY,
     /// The upstream's answer was cut or malformed.
--- a/goldcresttally-proxy/src/link/mod.rs
+++ b/goldcresttally-proxy/src/link/mod.rs
@@ -39,7 +39,16 @@
     /// It was sent and the deadline has passed.
     TimedOut,
     /// It was sent, and the connection brings nothing any more.
-    Silent,
+    Silent(Silence),
+}
+
+/// What made a link count as silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Silence {
+    /// Time since the link last brought an answer, or since it was opened.
+    pub quiet: Duration,
+    /// Time that the probe went unanswered; more than its limit shows that this process was late.
+    pub probe: Duration,
 }
 
 /// How a request over one link failed.
@@ -141,22 +150,25 @@
         }
         tokio::select! {
             sent = &mut sent => sent,
-            () = self.silence(to, sent_at) => Err(LinkError::Silent),
+            silence = self.silence(to, sent_at) => Err(LinkError::Silent(silence)),
         }
     }
 
     /// Returns once the kept link to a node is silent: it has brought no answer since `since` and
     /// does not answer a probe. The link is given up then; while it is sound, this waits for ever.
-    async fn silence(&self, to: SocketAddr, since: MonoTime) {
+    async fn silence(&self, to: SocketAddr, since: MonoTime) -> Silence {
         let slot = self.slot(to);
         let link = slot.link.load_full().filter(|link| link.answered() < since);
+        let probed_at = self.clock().now();
         if let Some(link) = link
             && !self.probe(&link, Duration::from_millis(PROBE_TIMEOUT_MS)).await
         {
             self.give_up(&slot, &link);
-            return;
+            let now = self.clock().now();
+            let quiet = now.since(link.answered().max(link.opened));
+            return Silence { quiet, probe: now.since(probed_at) };
         }
-        std::future::pending::<()>().await;
+        std::future::pending().await
     }
 
     /// Has a silent link replaced; whatever still waits on it settles its own attempt.
--- a/goldcresttally-proxy/src/peer/attempts.rs
+++ b/goldcresttally-proxy/src/peer/attempts.rs
@@ -1,12 +1,11 @@
 //! The ledger in shards, with the means to wait for an attempt's end and to cancel it.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use goldcresttally_core::{AttemptId, Deadline, Map, MonoTime};
 use goldcresttally_ledger::{Answer, Ledger, Options, Refusal, Settlement};
-use tokio::sync::Notify;
-use tokio_util::sync::CancellationToken;
+use tokio::sync::{Notify, SetOnce};
 
 use super::ticket::Ticket;
 use crate::errors::{CallError, Reason};
@@ -17,10 +16,13 @@
 /// Time for which an attempt of a keyed call is remembered after its deadline, in seconds.
 const KEYED_RETENTION_S: u64 = 120;
 
+/// Ends an attempt from outside; holds why, once it is cancelled.
+pub(super) type Cancellation = Arc<SetOnce<Reason>>;
+
 #[derive(Debug)]
 struct Shard {
     ledger: Ledger,
-    running: Map<AttemptId, CancellationToken>,
+    running: Map<AttemptId, Cancellation>,
 }
 
 #[derive(Debug)]
@@ -47,15 +49,15 @@
 }
 
 impl Attempts {
-    /// Notes an attempt that came; returns the token that cancels it.
-    pub fn begin(&self, now: MonoTime, ticket: &Ticket) -> Result<CancellationToken, CallError> {
+    /// Notes an attempt that came; returns what cancels it.
+    pub fn begin(&self, now: MonoTime, ticket: &Ticket) -> Result<Cancellation, CallError> {
         let retention = ticket.keyed.then(|| Duration::from_secs(KEYED_RETENTION_S));
         let mut shard = self.shard(ticket.attempt);
         match shard.ledger.begin(now, ticket.attempt, ticket.deadline, retention) {
             Ok(()) => {
-                let token = CancellationToken::new();
-                shard.running.insert(ticket.attempt, token.clone());
-                Ok(token)
+                let cancelled = Cancellation::default();
+                shard.running.insert(ticket.attempt, Arc::clone(&cancelled));
+                Ok(cancelled)
             }
             Err(Refusal::Full) => Err(CallError::not_run(Reason::LedgerFull)),
             Err(Refusal::Fenced | Refusal::Forgotten) => Err(CallError::not_run(Reason::Fenced)),
@@ -86,9 +88,10 @@
     }
 
     /// Cancels an attempt that has not ended.
-    pub fn cancel(&self, id: AttemptId) {
-        if let Some(token) = self.shard(id).running.get(&id) {
-            token.cancel();
+    pub fn cancel(&self, id: AttemptId, reason: Reason) {
+        if let Some(cancelled) = self.shard(id).running.get(&id) {
+            // The first reason stands.
+            let _ = cancelled.set(reason);
         }
     }
 
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -14,8 +14,8 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::sync::{mpsc, oneshot};
-use tokio_util::sync::CancellationToken;
 
+use super::attempts::Cancellation;
 use super::exchange::{AnswerKind, Sent, answer_headers, is_large, is_overload, upstream_request};
 use super::gate::{Gate, Place};
 use super::ticket::Ticket;
@@ -40,7 +40,7 @@
     pub call_id: String,
     /// When the attempt came.
     pub began: MonoTime,
-    pub cancelled: CancellationToken,
+    pub cancelled: Cancellation,
     pub answer: Option<oneshot::Sender<Response<CallBody>>>,
 }
 
@@ -53,7 +53,7 @@
         };
         let entered = tokio::select! {
             entered = gate.enter(&peer.state, &self.ticket) => entered,
-            () = self.cancelled.cancelled() => Err(CallError::not_run(Reason::Fenced)),
+            reason = self.cancelled.wait() => Err(CallError::not_run(*reason)),
         };
         let mut place = match entered {
             Ok(place) => place,
@@ -96,9 +96,10 @@
                 self.abandon(Reason::Deadline);
                 return None;
             }
-            () = self.cancelled.cancelled() => {
+            reason = self.cancelled.wait() => {
                 peer.state.counters.cancelled.add();
-                self.abandon(Reason::Deadline);
+                let reason = *reason;
+                self.abandon(reason);
                 return None;
             }
         };
@@ -156,8 +157,9 @@
         let limit = self.peer.state.clock.instant(self.ticket.deadline);
         let read = tokio::select! {
             read = tokio::time::timeout_at(limit, read_up_to_limit(body)) => read,
-            () = self.cancelled.cancelled() => {
-                self.abandon(Reason::Deadline);
+            reason = self.cancelled.wait() => {
+                let reason = *reason;
+                self.abandon(reason);
                 return false;
             }
         };
--- a/goldcresttally-proxy/src/peer/settle.rs
+++ b/goldcresttally-proxy/src/peer/settle.rs
@@ -36,7 +36,8 @@
         let generation = headers::parse::<Generation>(map, &headers::GENERATION);
         let id = headers::parse::<AttemptId>(map, &headers::ATTEMPT);
         if let Some(id) = id.filter(|_| generation == Some(self.state.identity.generation)) {
-            self.attempts.cancel(id);
+            let reason = headers::parse(map, &headers::REASON).unwrap_or(Reason::CallerGone);
+            self.attempts.cancel(id, reason);
         }
         Response::new(full(""))
     }
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -229,6 +229,11 @@
         self.ending.cancel();
     }
 
+    /// Tells whether calls are to end.
+    pub fn is_ending(&self) -> bool {
+        self.ending.is_cancelled()
+    }
+
     /// Waits until calls are to end.
     pub async fn ending(&self) {
         self.ending.cancelled().await;
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -71,6 +71,7 @@
     CALL_UPSTREAM_FAILED = 2002 Info "call ended with an upstream's failure";
     CALL_RETRIED = 2003 Info "attempt failed: another one is made";
     ATTEMPT_ENDED = 2004 Info "attempt ended beside its upstream without an answer";
+    ATTEMPT_DOUBTED = 2005 Info "attempt in doubt: its node does not answer a probe";
 }
 
 /// Lines of one kind in one window; more are counted and left out.
@@ -181,6 +182,7 @@
             CallEvent::UpstreamFailed { .. } => CALL_UPSTREAM_FAILED,
             CallEvent::Retried { .. } => CALL_RETRIED,
             CallEvent::AttemptEnded { .. } => ATTEMPT_ENDED,
+            CallEvent::Doubted { .. } => ATTEMPT_DOUBTED,
         };
         emit(kind, format_args!("{call} {event}"));
     }
