--- a/tally-lab/src/fleet/network.rs
+++ b/tally-lab/src/fleet/network.rs
@@ -1,4 +1,4 @@
-//! A network between nodes that can be cut, and whose open connections can go silent.
+//! A network between nodes that can be cut, and whose connections can stall, go silent or be reset.
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -13,6 +13,7 @@
 use goldcresttally_proxy::{BoxFuture, TcpTransport, Transport};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Interval, interval};
+use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
 
 /// Interval at which a stalled connection looks whether it may go on, in milliseconds.
 const STALL_CHECK_MS: u64 = 20;
@@ -24,6 +25,8 @@
     group_of: Vec<(IpAddr, usize)>,
     /// Addresses that reach nobody.
     off: Set<IpAddr>,
+    /// Addresses whose answers are held back.
+    held: Set<IpAddr>,
     /// Share of datagrams that are lost.
     loss: f64,
 }
@@ -34,6 +37,8 @@
     cuts: RwLock<Cuts>,
     /// Connections opened under an earlier number carry nothing any more.
     epoch: AtomicU64,
+    /// Cancelled to reset the connections that are open.
+    open: RwLock<CancellationToken>,
 }
 
 impl Network {
@@ -80,6 +85,35 @@
         self.epoch.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Holds back what others would read on connections to `ip`, old and new; what they write
+    /// passes.
+    pub fn hold_answers(&self, ip: IpAddr) {
+        self.cuts_mut(|cuts| {
+            cuts.held.insert(ip);
+        });
+    }
+
+    /// Lets others read from `ip` again, first what was held back.
+    pub fn release_answers(&self, ip: IpAddr) {
+        self.cuts_mut(|cuts| {
+            cuts.held.remove(&ip);
+        });
+    }
+
+    /// Resets every connection between VMs that is open now; new ones work.
+    pub fn reset_open_connections(&self) {
+        let mut open = self.open.write().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *open).cancel();
+    }
+
+    /// Returns the token whose cancellation resets a connection that is opened now.
+    fn reset_token(&self, local: IpAddr, remote: IpAddr) -> CancellationToken {
+        if local == remote {
+            return CancellationToken::new();
+        }
+        self.open.read().unwrap_or_else(PoisonError::into_inner).child_token()
+    }
+
     fn cuts_mut(&self, change: impl FnOnce(&mut Cuts)) {
         change(&mut self.cuts.write().unwrap_or_else(PoisonError::into_inner));
     }
@@ -94,6 +128,11 @@
         !off && (cuts.group_of.is_empty() || group(from) == group(to))
     }
 
+    fn holds(&self, from: IpAddr, to: IpAddr) -> bool {
+        let cuts = self.cuts.read().unwrap_or_else(PoisonError::into_inner);
+        from != to && cuts.held.contains(&to)
+    }
+
     fn loses(&self) -> bool {
         let cuts = self.cuts.read().unwrap_or_else(PoisonError::into_inner);
         cuts.loss > 0.0 && fastrand::f64() < cuts.loss
@@ -116,10 +155,12 @@
             while !network.reaches(local, to.ip()) {
                 tokio::time::sleep(Duration::from_millis(STALL_CHECK_MS)).await;
             }
+            let reset = network.reset_token(local, to.ip());
             let epoch = network.epoch.load(Ordering::Relaxed);
             let stream = TcpTransport::new(Some(local)).dial(to).await?;
             let stall = Stall { network, local, remote: to.ip(), epoch, timer: None };
-            Ok(Box::new(LabStream { stream, stall }) as Box<dyn Connection>)
+            let reset = Box::pin(reset.cancelled_owned());
+            Ok(Box::new(LabStream { stream, stall, reset }) as Box<dyn Connection>)
         })
     }
 
@@ -139,11 +180,22 @@
 }
 
 impl Stall {
-    fn poll_passes(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    /// Tells whether bytes pass either way.
+    fn carries(&self) -> bool {
+        let same_vm = self.local == self.remote;
+        let silent = self.epoch != self.network.epoch.load(Ordering::Relaxed) && !same_vm;
+        !silent && self.network.reaches(self.local, self.remote)
+    }
+
+    /// Tells whether the other end's bytes pass.
+    fn brings(&self) -> bool {
+        self.carries() && !self.network.holds(self.local, self.remote)
+    }
+
+    /// Waits until the connection `passes` bytes.
+    fn poll_passes(&mut self, cx: &mut Context<'_>, passes: fn(&Self) -> bool) -> Poll<()> {
         loop {
-            let same_vm = self.local == self.remote;
-            let silent = self.epoch != self.network.epoch.load(Ordering::Relaxed) && !same_vm;
-            if !silent && self.network.reaches(self.local, self.remote) {
+            if passes(self) {
                 return Poll::Ready(());
             }
             let check = Duration::from_millis(STALL_CHECK_MS);
@@ -158,6 +210,7 @@
 struct LabStream {
     stream: tokio::net::TcpStream,
     stall: Stall,
+    reset: Pin<Box<WaitForCancellationFutureOwned>>,
 }
 
 impl AsyncRead for LabStream {
@@ -166,13 +219,17 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.stall.poll_passes(cx).is_pending() {
+        if self.reset.as_mut().poll(cx).is_ready() {
+            self.stream.set_zero_linger()?;
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        if self.stall.poll_passes(cx, Stall::brings).is_pending() {
             return Poll::Pending;
         }
         // Read aside: what comes after the connection has gone silent must not be seen.
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if polled.is_ready() && self.stall.poll_passes(cx).is_pending() {
+        if polled.is_ready() && self.stall.poll_passes(cx, Stall::carries).is_pending() {
             buf.set_filled(before);
             return Poll::Pending;
         }
@@ -186,7 +243,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if self.stall.poll_passes(cx).is_pending() {
+        if self.stall.poll_passes(cx, Stall::carries).is_pending() {
             return Poll::Pending;
         }
         Pin::new(&mut self.stream).poll_write(cx, buf)
