--- a/tally-lab/tests/common/mod.rs
+++ b/tally-lab/tests/common/mod.rs
@@ -32,8 +32,17 @@
     }
 
     pub async fn start_with(nodes: usize, upstreams: &[(usize, Behaviour)], section: &str) -> Self {
+        Self::start_fleet(FleetOptions::default(), nodes, upstreams, section).await
+    }
+
+    pub async fn start_fleet(
+        options: FleetOptions,
+        nodes: usize,
+        upstreams: &[(usize, Behaviour)],
+        section: &str,
+    ) -> Self {
         let places = Place::spread(nodes, 2);
-        let fleet = Fleet::start(FleetOptions::default(), places, 1).await.unwrap();
+        let fleet = Fleet::start(options, places, 1).await.unwrap();
         let mut bench = Self { fleet, record: Arc::default(), caller: Caller::default() };
         for (i, behaviour) in upstreams {
             bench.start_upstream(*i, behaviour.clone()).await;
