An attempt in doubt goes on until another is answered; one whose link broke asks for its outcome

Cause: the entry took slowness for death. A link that had brought nothing for a quarter of the target (100 ms) was probed; when the probe took more than 250 ms, a safe call's attempt was CANCELLED at its upstream before any other was made, and the other one was often refused. The same class: an idempotent call whose link broke did not ask for its outcome, although its run went on and its answer was kept.

Now a doubt only lets another attempt be made beside the first, within attempts, budget and deadline, and never at the same node; the first answer wins, and only then the others are cancelled. An attempt whose link broke asks its node, over the link that stands then and not one of its own, and so does one in doubt while its link may still bring the answer. The caller is told of a failure when nothing is in flight any more. Unsafe calls are never made twice at once. A link is judged by what the request went out on, not by the one that has replaced it.

Ruled out: the planned stop itself (its calls end 5.2 s after SIGTERM; here it was 0.3 s), a broken link by itself (it cancels nothing).

--- a/goldcresttally-proxy/src/call_log.rs
+++ b/goldcresttally-proxy/src/call_log.rs
@@ -59,10 +59,10 @@
         /// The node that ran the last attempt.
         node: Option<NodeId>,
     },
-    /// An attempt failed, and another one is made.
+    /// An attempt failed or is in doubt, and another one is made.
     Retried {
-        /// The node of the attempt that failed.
-        node: Option<NodeId>,
+        /// The node of that attempt.
+        node: NodeId,
         /// Whether it may have run.
         verdict: Verdict,
         /// Why it failed.
@@ -98,7 +98,7 @@
                 write!(f, "status={} node={}", status.as_u16(), at(node))
             }
             Self::Retried { node, verdict, reason } => {
-                write!(f, "node={} verdict={verdict} reason={reason}", at(node))
+                write!(f, "node={node} verdict={verdict} reason={reason}")
             }
             Self::Doubted { node, silence: Silence { quiet, probe } } => {
                 let (quiet, probe) = (quiet.as_millis(), probe.as_millis());
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -1,9 +1,9 @@
-//! One attempt: sends the call to its node, and settles it when the connection breaks.
+//! One attempt: sends the call to its node, and asks that node when the connection breaks.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use goldcresttally_core::Deadline;
+use goldcresttally_core::{Deadline, NodeId};
 use goldcresttally_routing::silence::check_after;
 use http::uri::{Authority, PathAndQuery, Scheme};
 use http::{Request, Response, Uri};
@@ -13,56 +13,69 @@
 use super::call::{Attempt, Call};
 use super::keyed::KeptBody;
 use super::observe::{InFlight, Watched};
+use super::race::{Doubt, Race};
 use crate::body::{BUFFER_LIMIT_BYTES, CallBody, Replay, boxed, full};
 use crate::call_log::CallEvent;
 use crate::errors::{CallError, Reason};
 use crate::headers;
-use crate::link::LinkError;
+use crate::link::{Carrier, LinkError};
 
 /// Time after the deadline for which the peer's verdict is waited for, in milliseconds.
 const VERDICT_GRACE_MS: u64 = 200;
 
-/// Cancels an attempt when its caller is gone before it has ended.
-struct CancelGuard {
-    entry: Arc<Entry>,
+/// The node that ran the attempt whose answer this is.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RanAt(pub NodeId);
+
+/// Cancels an attempt that nobody waits for any more before it has ended.
+struct CancelGuard<'a> {
+    entry: &'a Arc<Entry>,
+    race: &'a Race,
     attempt: Option<Attempt>,
 }
 
-impl Drop for CancelGuard {
+impl Drop for CancelGuard<'_> {
     fn drop(&mut self) {
         if let Some(attempt) = self.attempt.take() {
             let reason = match self.entry.state.is_ending() {
+                _ if self.race.is_won() => Reason::Superseded,
                 true => Reason::Stopped,
                 false => Reason::CallerGone,
             };
-            let entry = Arc::clone(&self.entry);
+            let entry = Arc::clone(self.entry);
             self.entry.tasks.spawn(async move { entry.cancel(&attempt, reason).await });
         }
     }
 }
 
 impl Call {
-    /// Makes one attempt; `keyed` makes its node remember it for longer.
+    /// Makes one attempt of a race; `keyed` makes its node remember it for longer.
     pub async fn attempt(
         &self,
         attempt: &Attempt,
         body: &Replay<CallBody>,
         keyed: bool,
+        race: &Race,
     ) -> Result<Response<CallBody>, CallError> {
         let entry = &self.entry;
         let in_flight = self.in_flight(attempt);
-        let mut guard = CancelGuard { entry: Arc::clone(entry), attempt: Some(attempt.clone()) };
+        let mut guard = CancelGuard { entry, race, attempt: Some(attempt.clone()) };
         let req = self.request(attempt, body, keyed);
         let result = match attempt.endpoint.node == entry.state.identity.node {
             true => Ok(entry.peer.answer(req).await),
-            false => self.send(attempt, req).await,
+            false => self.send(attempt, req, race).await,
         };
         let result = match result {
-            Ok(response) => self.read_answer(attempt, response, in_flight).await,
+            Ok(response) => self.read_answer(attempt, response, in_flight, race).await,
             Err(error) => Err(error),
         };
         guard.attempt = None;
-        self.observe(attempt, &result);
+        let result = result.map(|mut response| {
+            response.extensions_mut().insert(RanAt(attempt.endpoint.node));
+            response
+        });
+        let doubted = race.end(attempt.id);
+        self.observe(attempt, &result, doubted);
         result
     }
 
@@ -70,6 +83,7 @@
         &self,
         attempt: &Attempt,
         req: Request<CallBody>,
+        race: &Race,
     ) -> Result<Response<CallBody>, CallError> {
         let probe = !self.route.idempotent;
         // The peer ends the attempt at the deadline and knows whether it ran.
@@ -77,24 +91,39 @@
         let limit = Deadline::after(self.deadline.0, grace);
         let check = check_after(self.route.target);
         let peer = attempt.endpoint.peer;
-        match self.entry.links.send_checked(peer, req, limit, probe, check).await {
+        let links = &self.entry.links;
+        let carrier = Carrier::default();
+        let mut sent = std::pin::pin!(links.send_over(peer, req, limit, probe, &carrier));
+        let sent = tokio::select! {
+            sent = &mut sent => sent,
+            silence = links.silence(peer, &carrier, check) => {
+                self.note(CallEvent::Doubted { node: attempt.endpoint.node, silence });
+                self.doubt(attempt, Reason::Silent, race);
+                tokio::select! {
+                    sent = &mut sent => sent,
+                    outcome = self.outcome(attempt) => return outcome,
+                }
+            }
+        };
+        match sent {
             Ok(response) => Ok(response.map(boxed)),
             Err(LinkError::NotSent) => Err(CallError::not_run(Reason::Unreachable)),
-            Err(LinkError::TimedOut) => {
+            Err(LinkError::TimedOut | LinkError::Silent(_)) => {
                 self.give_up(attempt, Reason::Deadline);
                 Err(CallError::may_have_run(Reason::Deadline))
             }
-            Err(LinkError::Silent(silence)) => {
-                let node = attempt.endpoint.node;
-                self.note(CallEvent::Doubted { node, silence });
-                // Asking takes longer than running an idempotent call elsewhere.
-                if self.route.idempotent {
-                    self.give_up(attempt, Reason::Silent);
-                    return Err(CallError::may_have_run(Reason::Silent));
-                }
+            Err(LinkError::Lost) => {
+                self.doubt(attempt, Reason::ConnectionLost, race);
                 self.settle(attempt).await
             }
-            Err(LinkError::Lost) => self.settle(attempt).await,
+        }
+    }
+
+    /// Has other calls avoid the node of an attempt, and lets another attempt be made beside it.
+    fn doubt(&self, attempt: &Attempt, reason: Reason, race: &Race) {
+        let doubt = Doubt { attempt: attempt.id, node: attempt.endpoint.node, reason };
+        if race.doubt(doubt) {
+            self.observe_failure(&attempt.endpoint, &CallError::may_have_run(reason));
         }
     }
 
@@ -110,6 +139,7 @@
         attempt: &Attempt,
         response: Response<CallBody>,
         in_flight: InFlight,
+        race: &Race,
     ) -> Result<Response<CallBody>, CallError> {
         let (mut parts, body) = response.into_parts();
         in_flight.report(&self.entry.state, &parts.headers);
@@ -129,7 +159,10 @@
                 parts.extensions.insert(KeptBody(body.clone()));
                 Ok(Response::from_parts(parts, full(body)))
             }
-            Ok(Err(_)) => self.settle(attempt).await,
+            Ok(Err(_)) => {
+                self.doubt(attempt, Reason::ConnectionLost, race);
+                self.settle(attempt).await
+            }
             Err(_) => Err(CallError::ran(Reason::Deadline)),
         }
     }
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use goldcresttally_config::{KeyPolicy, Route, Service};
-use goldcresttally_core::{AttemptId, Deadline, MonoTime};
-use goldcresttally_routing::{Endpoint, Failure, Throttle, Tries, TryLimits, class_key, late_key};
+use goldcresttally_core::{AttemptId, Deadline, MonoTime, NodeId};
+use goldcresttally_routing::{
+    BudgetOptions, Endpoint, Failure, RetryBudget, Throttle, Tries, TryLimits, class_key, late_key,
+};
 use http::header::EXPECT;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -13,6 +15,7 @@
 use hyper::body::Body;
 
 use super::Entry;
+use super::race::Doubt;
 use crate::body::{CallBody, Replay, boxed};
 use crate::call_log::{CallEvent, CallInfo};
 use crate::errors::{CallError, Reason};
@@ -178,44 +181,18 @@
         result.map_err(|e| CallError { verdict: e.verdict.max(tries.verdict()), ..e })
     }
 
-    async fn try_until_answered(
-        &self,
-        tries: &mut Tries,
-        body: &Replay<CallBody>,
-    ) -> Result<Response<CallBody>, CallError> {
-        let mut failed = None;
-        loop {
-            let attempt = match self.next_attempt(tries) {
-                Ok(attempt) => attempt,
-                Err(error) => return failed.ok_or(error),
-            };
-            match self.attempt(&attempt, body, false).await {
-                Ok(response) if self.has_failed(&response) => {
-                    let failure = CallError::ran(Reason::UpstreamFailed);
-                    if self.check_retry(tries, &failure, body).await.is_err() {
-                        return Ok(response);
-                    }
-                    failed = Some(response);
-                }
-                Ok(response) => return Ok(response),
-                Err(error) => {
-                    if let Err(error) = self.check_retry(tries, &error, body).await {
-                        // An upstream's own failure says more than that of a later attempt.
-                        return failed.ok_or(error);
-                    }
-                }
-            }
-        }
-    }
-
     /// Tells whether another upstream may do better: this one failed with time left.
-    fn has_failed(&self, response: &Response<CallBody>) -> bool {
+    pub fn has_failed(&self, response: &Response<CallBody>) -> bool {
         let status = response.status();
         self.route.idempotent && status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
     }
 
-    /// Picks the endpoint of the next attempt.
-    pub fn next_attempt(&self, tries: &mut Tries) -> Result<Attempt, CallError> {
+    /// Picks the endpoint of the next attempt, none of those `in_flight`.
+    pub fn next_attempt(
+        &self,
+        tries: &mut Tries,
+        in_flight: &[NodeId],
+    ) -> Result<Attempt, CallError> {
         let endpoints = self.entry.state.endpoints();
         let all = endpoints.get(&self.service.name);
         let all = all.ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?;
@@ -229,7 +206,7 @@
         let picked = hinted
             .or_else(|| self.entry.picker.pick(&asked, all, tries.tried(), random))
             // All were tried: a refusal by one of them may be over by now.
-            .or_else(|| self.entry.picker.pick(&asked, all, &[], random));
+            .or_else(|| self.entry.picker.pick(&asked, all, in_flight, random));
         let endpoint = picked.ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?.clone();
         tries.begin(endpoint.node);
         Ok(Attempt { id: self.entry.state.next_attempt(), endpoint })
@@ -239,34 +216,80 @@
     pub async fn check_retry(
         &self,
         tries: &mut Tries,
-        error: &CallError,
+        node: NodeId,
+        error: CallError,
         body: &Replay<CallBody>,
     ) -> Result<(), CallError> {
-        let failure = Failure {
-            verdict: error.verdict,
-            seen: error.is_seen(),
-            can_pass: !matches!(error.reason, Reason::BadRequest | Reason::NoEndpoint),
-            can_resend: body.can_send(),
-            redirect: error.redirect,
-        };
-        let limits = TryLimits {
+        if !self.may_retry(tries, node, &error, body) {
+            return Err(error);
+        }
+        tokio::time::sleep(retry_jitter()).await;
+        Ok(())
+    }
+
+    /// Notes that the attempt at `node` failed; returns whether another one may be made.
+    pub fn may_retry(
+        &self,
+        tries: &mut Tries,
+        node: NodeId,
+        error: &CallError,
+        body: &Replay<CallBody>,
+    ) -> bool {
+        let now = self.entry.state.clock.now();
+        let failure = failure_of(error, body);
+        let options = self.entry.state.retry_options();
+        let again = tries.on_failure(now, failure, self.try_limits(), self.retry_budget(&options));
+        if again {
+            self.note_retry(node, error);
+        }
+        again
+    }
+
+    /// Returns whether another attempt may be made beside those `in_flight`, all of which are in
+    /// doubt.
+    pub fn may_hedge(
+        &self,
+        tries: &mut Tries,
+        doubt: Doubt,
+        in_flight: &[NodeId],
+        body: &Replay<CallBody>,
+    ) -> bool {
+        let endpoints = self.entry.state.endpoints();
+        let all = endpoints.get(&self.service.name).map_or(&[][..], |all| all);
+        if all.iter().all(|endpoint| in_flight.contains(&endpoint.node)) {
+            return false;
+        }
+        let now = self.entry.state.clock.now();
+        let options = self.entry.state.retry_options();
+        let budget = self.retry_budget(&options);
+        let again = tries.on_doubt(now, body.is_whole(), self.try_limits(), budget);
+        if again {
+            self.note_retry(doubt.node, &CallError::may_have_run(doubt.reason));
+        }
+        again
+    }
+
+    fn note_retry(&self, node: NodeId, error: &CallError) {
+        self.entry.state.counters.retries.add();
+        let CallError { verdict, reason, .. } = *error;
+        self.note(CallEvent::Retried { node, verdict, reason });
+    }
+
+    fn try_limits(&self) -> TryLimits {
+        TryLimits {
             idempotent: self.route.idempotent,
             retries: self.route.retries,
             unseen: UNSEEN_TRIES,
             deadline: self.deadline,
-        };
-        let options = self.entry.state.retry_options();
-        let budget = self.limits().map(|l| (&*l.retries, &options));
-        let budget = budget.filter(|_| self.entry.options.retry_budget);
-        if !tries.on_failure(self.entry.state.clock.now(), failure, limits, budget) {
-            return Err(error.clone());
         }
-        self.entry.state.counters.retries.add();
-        let (node, verdict) = (tries.tried().last().copied(), error.verdict);
-        self.note(CallEvent::Retried { node, verdict, reason: error.reason });
-        let jitter = Duration::from_millis(fastrand::u64(0..=RETRY_JITTER_MS));
-        tokio::time::sleep(jitter).await;
-        Ok(())
+    }
+
+    fn retry_budget<'a>(
+        &'a self,
+        options: &'a BudgetOptions,
+    ) -> Option<(&'a RetryBudget, &'a BudgetOptions)> {
+        let limits = self.limits().filter(|_| self.entry.options.retry_budget);
+        limits.map(|limits| (&*limits.retries, options))
     }
 
     fn check_limits(&self) -> Result<(), CallError> {
@@ -311,6 +334,22 @@
     }
 }
 
+/// Says what an attempt's failure means for further ones.
+pub(super) fn failure_of(error: &CallError, body: &Replay<CallBody>) -> Failure {
+    Failure {
+        verdict: error.verdict,
+        seen: error.is_seen(),
+        can_pass: !matches!(error.reason, Reason::BadRequest | Reason::NoEndpoint),
+        can_resend: body.can_send(),
+        redirect: error.redirect,
+    }
+}
+
+/// Returns the wait before another attempt.
+pub(super) fn retry_jitter() -> Duration {
+    Duration::from_millis(fastrand::u64(0..=RETRY_JITTER_MS))
+}
+
 fn key_of(route: &Route) -> u32 {
     class_key(route.rank.index, route.target.as_millis() as u64)
 }
--- a/goldcresttally-proxy/src/entry/keyed.rs
+++ b/goldcresttally-proxy/src/entry/keyed.rs
@@ -12,6 +12,7 @@
 use http::{HeaderValue, Response, StatusCode};
 
 use super::call::{Attempt, Call};
+use super::race::Race;
 use super::settle::answer_response;
 use crate::body::{CallBody, Replay, full};
 use crate::claims::ClaimWrite;
@@ -62,17 +63,17 @@
         let row = self.claim_row(key);
         let mut revision = 0;
         loop {
-            let attempt = self.next_attempt(tries)?;
+            let attempt = self.next_attempt(tries, &[])?;
             let claim = claim_of(&attempt, fingerprint);
             let held = match self.claim(&row, revision, &claim).await {
                 Ok(Claiming::Held(held)) => held,
                 Ok(Claiming::Answered(response)) => return Ok(response),
                 Err(error) if self.runs_unclaimed(&error) => {
-                    return self.attempt(&attempt, body, true).await;
+                    return self.attempt(&attempt, body, true, &Race::default()).await;
                 }
                 Err(error) => return Err(error),
             };
-            match self.attempt(&attempt, body, true).await {
+            match self.attempt(&attempt, body, true, &Race::default()).await {
                 Ok(response) => {
                     self.record_answer(held, claim, &response);
                     return Ok(response);
@@ -80,7 +81,10 @@
                 Err(error) => {
                     revision = held.revision;
                     let retry = match error.verdict {
-                        Verdict::NotRun => self.check_retry(tries, &error, body).await,
+                        Verdict::NotRun => {
+                            let node = attempt.endpoint.node;
+                            self.check_retry(tries, node, error, body).await
+                        }
                         // Only the attempt's node can tell; a repeat asks it.
                         Verdict::MayHaveRun | Verdict::Ran => return Err(error),
                     };
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod keyed;
 mod observe;
+mod race;
 mod settle;
 
 use std::sync::Arc;
@@ -25,6 +26,7 @@
 use crate::peer::Peer;
 use crate::service::Handler;
 use crate::state::State;
+use attempt::RanAt;
 use call::Call;
 
 /// Usual time until a configuration or an upstream is found, in milliseconds: about one interval
@@ -120,7 +122,8 @@
             Ok(response) => {
                 self.state.counters.answered.add();
                 if response.status().is_server_error() {
-                    let (status, node) = (response.status(), tries.tried().last().copied());
+                    let status = response.status();
+                    let node = response.extensions().get::<RanAt>().map(|at| at.0);
                     call.note(CallEvent::UpstreamFailed { status, node });
                     call.note_failed();
                 }
--- a/goldcresttally-proxy/src/entry/observe.rs
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -78,13 +78,13 @@
 }
 
 impl Call {
-    /// Notes how an attempt ended.
+    /// Notes how an attempt ended; a failure of one that was `doubted` was noted then.
     pub(super) fn observe(
         &self,
         attempt: &Attempt,
         result: &Result<Response<CallBody>, CallError>,
+        doubted: bool,
     ) {
-        let now = self.entry.state.clock.now();
         let observed = &attempt.endpoint.observed;
         match result {
             Ok(response) => {
@@ -107,23 +107,33 @@
                     throttle.refused();
                 }
             }
-            Err(error) if error.reason == Reason::Unreachable => {
-                self.entry.ejection.on_unreachable(now, &attempt.endpoint);
-                self.entry.state.counters.ejections.add();
+            Err(_) if doubted => {}
+            Err(error) => self.observe_failure(&attempt.endpoint, error),
+        }
+    }
+
+    /// Leaves an endpoint out for a while where a failure speaks against it.
+    pub(super) fn observe_failure(&self, endpoint: &Endpoint, error: &CallError) {
+        let now = self.entry.state.clock.now();
+        let ejection = &self.entry.ejection;
+        let ejected = match error.reason {
+            Reason::Unreachable => {
+                ejection.on_unreachable(now, endpoint);
+                true
             }
-            Err(error) if error.reason == Reason::Silent => {
-                self.entry.ejection.on_silent(now, &attempt.endpoint);
-                self.entry.state.counters.ejections.add();
+            Reason::Silent => {
+                ejection.on_silent(now, endpoint);
+                true
             }
-            Err(error) if is_endpoint_failure(error) => {
+            _ if is_endpoint_failure(error) => {
                 let endpoints = self.entry.state.endpoints();
                 let all = endpoints.get(&self.service.name);
-                let all = all.map_or(&[][..], |all| all);
-                if self.entry.ejection.on_failure(now, &attempt.endpoint, all) {
-                    self.entry.state.counters.ejections.add();
-                }
+                ejection.on_failure(now, endpoint, all.map_or(&[][..], |all| all))
             }
-            Err(_) => {}
+            _ => false,
+        };
+        if ejected {
+            self.entry.state.counters.ejections.add();
         }
     }
 
--- a/goldcresttally-proxy/src/entry/settle.rs
+++ b/goldcresttally-proxy/src/entry/settle.rs
@@ -1,4 +1,4 @@
-//! Asks a node, on a new connection, what became of an attempt.
+//! Asks a node what became of an attempt whose connection broke or is in doubt.
 
 use std::time::Duration;
 
@@ -17,6 +17,10 @@
 /// Wait before a node that could not be reached is asked again, in milliseconds.
 const ASK_AGAIN_MS: u64 = 100;
 
+/// Time without an answer after which the link of a question is checked, in milliseconds: the
+/// node answers once the attempt has ended.
+const CHECK_MS: u64 = 500;
+
 /// Time within which a node must take a cancellation, in milliseconds.
 const CANCEL_TIMEOUT_MS: u64 = 500;
 
@@ -27,24 +31,36 @@
 const UNREACHABLE_LIMIT: u32 = 5;
 
 impl Call {
-    /// Settles an attempt whose connection broke.
+    /// Settles an attempt whose connection broke: asks its node what became of it.
     pub async fn settle(&self, attempt: &Attempt) -> Result<Response<CallBody>, CallError> {
-        let lost = Err(CallError::may_have_run(Reason::ConnectionLost));
-        // Asking takes longer than running an idempotent call elsewhere.
-        if self.route.idempotent
-            || !self.entry.options.settle
-            || attempt.endpoint.node == self.entry.state.identity.node
-        {
-            return lost;
-        }
-        self.entry.state.counters.settled.add();
-        match self.entry.ask(attempt, self.deadline).await {
+        match self.settlement(attempt).await {
             Some(Settlement::NotRun) => Err(CallError::not_run(Reason::ConnectionLost)),
             Some(Settlement::Done(Some(answer))) => Ok(answer_response(answer)),
             Some(Settlement::Done(None)) => Err(CallError::ran(Reason::ConnectionLost)),
-            Some(Settlement::Running | Settlement::Unknown) | None => lost,
+            Some(Settlement::Running | Settlement::Unknown) | None => {
+                Err(CallError::may_have_run(Reason::ConnectionLost))
+            }
         }
     }
+
+    /// Returns what became of an attempt whose connection is in doubt, once its node says so; an
+    /// answer may also still come over that connection, so this waits for ever without a result.
+    pub async fn outcome(&self, attempt: &Attempt) -> Result<Response<CallBody>, CallError> {
+        match self.settlement(attempt).await {
+            Some(Settlement::NotRun) => Err(CallError::not_run(Reason::ConnectionLost)),
+            Some(Settlement::Done(Some(answer))) => Ok(answer_response(answer)),
+            _ => std::future::pending().await,
+        }
+    }
+
+    async fn settlement(&self, attempt: &Attempt) -> Option<Settlement> {
+        let own = attempt.endpoint.node == self.entry.state.identity.node;
+        if own || !self.entry.options.settle {
+            return None;
+        }
+        self.entry.state.counters.settled.add();
+        self.entry.ask(attempt, self.deadline).await
+    }
 }
 
 impl Entry {
@@ -74,7 +90,8 @@
         deadline: Deadline,
     ) -> Result<Settlement, LinkError> {
         let req = self.control_request("settle", attempt, deadline);
-        let response = self.links.send_fresh(attempt.endpoint.peer, req, deadline).await?;
+        let (to, check) = (attempt.endpoint.peer, Duration::from_millis(CHECK_MS));
+        let response = self.links.send_checked(to, req, deadline, false, check).await?;
         let (mut parts, body) = response.into_parts();
         let text = headers::parse::<String>(&parts.headers, &headers::SETTLEMENT);
         match text.as_deref() {
--- a/goldcresttally-proxy/src/errors.rs
+++ b/goldcresttally-proxy/src/errors.rs
@@ -82,6 +82,8 @@
     Silent = "silent" => BAD_GATEWAY,
     /// The caller has closed its connection.
     CallerGone = "caller-gone" => BAD_GATEWAY,
+    /// Another attempt of the call was answered.
+    Superseded = "superseded" => BAD_GATEWAY,
     /// The node that took the call had to end.
     Stopped = "stopped" => GATEWAY_TIMEOUT,
     /// The upstream answered that it failed.
--- a/goldcresttally-proxy/src/link/mod.rs
+++ b/goldcresttally-proxy/src/link/mod.rs
@@ -78,6 +78,10 @@
     answered_us: Arc<AtomicU64>,
 }
 
+/// The link over which a request was sent, once it was.
+#[derive(Debug, Default)]
+pub struct Carrier(ArcSwapOption<Link>);
+
 #[derive(Debug, Default)]
 struct Slot {
     link: ArcSwapOption<Link>,
@@ -111,29 +115,32 @@
         req: Request<CallBody>,
         deadline: Deadline,
         probe: bool,
+    ) -> Result<Response<Incoming>, LinkError> {
+        self.send_over(to, req, deadline, probe, &Carrier::default()).await
+    }
+
+    /// Sends a request like [`Self::send`], and notes in `carrier` over which link.
+    pub async fn send_over(
+        &self,
+        to: SocketAddr,
+        req: Request<CallBody>,
+        deadline: Deadline,
+        probe: bool,
+        carrier: &Carrier,
     ) -> Result<Response<Incoming>, LinkError> {
         let link = self.link(to, deadline, probe).await?;
+        carrier.0.store(Some(Arc::clone(&link)));
         match link.send(self.clock(), req, deadline).await {
             // The kept link had been closed; a new one may stand.
             Err(SendError::Unsent(req)) => {
                 let link = self.link(to, deadline, probe).await?;
+                carrier.0.store(Some(Arc::clone(&link)));
                 Ok(link.send(self.clock(), *req, deadline).await?)
             }
             other => Ok(other?),
         }
     }
 
-    /// Sends a request over a connection of its own.
-    pub async fn send_fresh(
-        &self,
-        to: SocketAddr,
-        req: Request<CallBody>,
-        deadline: Deadline,
-    ) -> Result<Response<Incoming>, LinkError> {
-        let link = self.dial(to, deadline).await?;
-        Ok(link.send(self.clock(), req, deadline).await?)
-    }
-
     /// Sends a request like [`Self::send`], and checks after `check` whether the link is silent.
     pub async fn send_checked(
         &self,
@@ -143,27 +150,30 @@
         probe: bool,
         check: Duration,
     ) -> Result<Response<Incoming>, LinkError> {
-        let sent_at = self.clock().now();
-        let mut sent = std::pin::pin!(self.send(to, req, deadline, probe));
-        if let Ok(sent) = tokio::time::timeout(check, &mut sent).await {
-            return sent;
-        }
+        let carrier = Carrier::default();
         tokio::select! {
-            sent = &mut sent => sent,
-            silence = self.silence(to, sent_at) => Err(LinkError::Silent(silence)),
+            sent = self.send_over(to, req, deadline, probe, &carrier) => sent,
+            silence = self.silence(to, &carrier, check) => Err(LinkError::Silent(silence)),
         }
     }
 
-    /// Returns once the kept link to a node is silent: it has brought no answer since `since` and
-    /// does not answer a probe. The link is given up then; while it is sound, this waits for ever.
-    async fn silence(&self, to: SocketAddr, since: MonoTime) -> Silence {
-        let slot = self.slot(to);
-        let link = slot.link.load_full().filter(|link| link.answered() < since);
+    /// Checks the link that carries a request after `check`, and returns once it is silent: it has
+    /// brought no answer in that time and does not answer a probe. The link is replaced then, but
+    /// what was sent over it may still be answered; while it is sound, this waits for ever.
+    pub async fn silence(&self, to: SocketAddr, carrier: &Carrier, check: Duration) -> Silence {
+        let since = self.clock().now();
+        let link = loop {
+            tokio::time::sleep(check).await;
+            // Without a link the request is not on its way yet.
+            if let Some(link) = carrier.0.load_full() {
+                break link;
+            }
+        };
         let probed_at = self.clock().now();
-        if let Some(link) = link
+        if link.answered() < since
             && !self.probe(&link, Duration::from_millis(PROBE_TIMEOUT_MS)).await
         {
-            self.give_up(&slot, &link);
+            self.give_up(&self.slot(to), &link);
             let now = self.clock().now();
             let quiet = now.since(link.answered().max(link.opened));
             return Silence { quiet, probe: now.since(probed_at) };
@@ -171,7 +181,7 @@
         std::future::pending().await
     }
 
-    /// Has a silent link replaced; whatever still waits on it settles its own attempt.
+    /// Has a silent link replaced; whatever still waits on it goes on.
     fn give_up(&self, slot: &Slot, silent: &Arc<Link>) {
         let held = slot.link.load();
         if held.as_ref().is_some_and(|link| Arc::ptr_eq(link, silent)) {
--- a/goldcresttally-routing/src/tries.rs
+++ b/goldcresttally-routing/src/tries.rs
@@ -39,7 +39,9 @@
 #[derive(Debug, Default)]
 pub struct Tries {
     tried: Vec<NodeId>,
-    /// Attempts that an upstream has seen.
+    /// Attempts that have not ended.
+    in_flight: usize,
+    /// Attempts that have ended and that an upstream has seen.
     seen: usize,
     redirects: usize,
     hint: Option<NodeId>,
@@ -50,6 +52,7 @@
     /// Notes that an attempt is made at `node`.
     pub fn begin(&mut self, node: NodeId) {
         self.tried.push(node);
+        self.in_flight += 1;
     }
 
     /// Returns the nodes that were tried.
@@ -67,6 +70,13 @@
         self.verdict
     }
 
+    /// Notes the failure of an attempt while another one, which is not in doubt, is in flight.
+    pub fn on_end(&mut self, failure: Failure) {
+        self.verdict = self.verdict.max(failure.verdict);
+        self.seen += usize::from(failure.seen);
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
     /// Notes a failure; returns whether another attempt is to be made.
     ///
     /// The budget, where there is one, is only charged when everything else allows the attempt.
@@ -77,23 +87,44 @@
         limits: TryLimits,
         budget: Option<(&RetryBudget, &BudgetOptions)>,
     ) -> bool {
-        self.verdict = self.verdict.max(failure.verdict);
-        self.seen += usize::from(failure.seen);
+        self.on_end(failure);
         let safe = failure.verdict.may_retry(limits.idempotent) && failure.can_resend;
-        let unseen = self.tried.len().saturating_sub(self.seen).min(limits.unseen.into());
-        let left = self.tried.len() - unseen <= usize::from(limits.retries);
-        if !safe || !failure.can_pass || !left || limits.deadline.is_past(now) {
-            return false;
-        }
-        // The first attempt that an upstream sees is no retry to it.
-        let repeats = self.seen > 0;
-        if repeats && budget.is_some_and(|(b, options)| !b.take(now, options)) {
+        if !safe || !failure.can_pass || !self.takes_another(now, limits, budget) {
             return false;
         }
         self.note_hint(failure.redirect);
         true
     }
 
+    /// Decides whether another attempt is made beside those in flight, all of which are in doubt;
+    /// they may still run or be answered.
+    pub fn on_doubt(
+        &mut self,
+        now: MonoTime,
+        can_resend: bool,
+        limits: TryLimits,
+        budget: Option<(&RetryBudget, &BudgetOptions)>,
+    ) -> bool {
+        let safe = Verdict::MayHaveRun.may_retry(limits.idempotent) && can_resend;
+        safe && self.takes_another(now, limits, budget)
+    }
+
+    /// Tells whether the limits allow another attempt, and charges it.
+    fn takes_another(
+        &self,
+        now: MonoTime,
+        limits: TryLimits,
+        budget: Option<(&RetryBudget, &BudgetOptions)>,
+    ) -> bool {
+        let may_be_seen = self.seen + self.in_flight;
+        let unseen = self.tried.len().saturating_sub(may_be_seen).min(limits.unseen.into());
+        let left = self.tried.len() - unseen <= usize::from(limits.retries);
+        // The first attempt that an upstream sees is no retry to it.
+        let repeats = may_be_seen > 0;
+        left && !limits.deadline.is_past(now)
+            && !(repeats && budget.is_some_and(|(b, options)| !b.take(now, options)))
+    }
+
     /// Keeps a hint unless it leads back or one too many was followed.
     fn note_hint(&mut self, hint: Option<NodeId>) {
         self.hint = hint.filter(|node| !self.tried.contains(node));
--- a/goldcresttally-routing/tests/retry_decisions.rs
+++ b/goldcresttally-routing/tests/retry_decisions.rs
@@ -103,6 +103,56 @@
     assert!(!tries.on_failure(NOW, failure(Verdict::NotRun), more, Some((&budget, &options))));
 }
 
+#[test]
+fn doubted_calls_are_hedged_once() {
+    let mut tries = Tries::default();
+    let limits = TryLimits { retries: 1, unseen: 2, ..limits(true) };
+    tries.begin(node(1));
+    assert!(tries.on_doubt(NOW, true, limits, None));
+    tries.begin(node(2));
+    // Both may be at an upstream: neither counts as unseen.
+    assert!(!tries.on_doubt(NOW, true, limits, None));
+    // A refusal that no upstream has seen gives its place back.
+    let unseen = Failure { seen: false, ..failure(Verdict::NotRun) };
+    assert!(tries.on_failure(NOW, unseen, limits, None));
+    tries.begin(node(3));
+    assert!(!tries.on_failure(NOW, failure(Verdict::NotRun), limits, None));
+}
+
+#[test]
+fn doubted_writes_are_not_hedged() {
+    let mut tries = Tries::default();
+    tries.begin(node(1));
+    assert!(!tries.on_doubt(NOW, true, limits(false), None));
+    assert!(tries.on_failure(NOW, failure(Verdict::NotRun), limits(false), None));
+}
+
+#[test]
+fn hedges_are_charged() {
+    let options = BudgetOptions { share: 0.0, reserve: 1.0, ..BudgetOptions::default() };
+    let budget = RetryBudget::default();
+    let charged = Some((&budget, &options));
+    let mut tries = Tries::default();
+    tries.begin(node(1));
+    assert!(tries.on_doubt(NOW, true, limits(true), charged));
+    tries.begin(node(2));
+    assert!(!tries.on_doubt(NOW, true, limits(true), charged));
+    assert!(!tries.on_doubt(NOW, false, limits(true), None), "the body cannot be sent again");
+}
+
+#[test]
+fn doubt_is_no_verdict() {
+    let mut tries = Tries::default();
+    tries.begin(node(1));
+    assert!(tries.on_doubt(NOW, true, limits(true), None));
+    tries.begin(node(2));
+    let unseen = Failure { seen: false, ..failure(Verdict::NotRun) };
+    tries.on_end(unseen);
+    // The attempt that was in doubt turns out not to have run either.
+    tries.on_end(unseen);
+    assert_eq!(tries.verdict(), Verdict::NotRun);
+}
+
 #[test]
 fn redirects_end() {
     arbtest::arbtest(|u| {
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -69,7 +69,7 @@
     METRICS_FAILED = 1701 Warn "metrics could not be sent";
     CALL_FAILED = 2001 Info "call ended without an upstream's answer";
     CALL_UPSTREAM_FAILED = 2002 Info "call ended with an upstream's failure";
-    CALL_RETRIED = 2003 Info "attempt failed: another one is made";
+    CALL_RETRIED = 2003 Info "attempt failed or in doubt: another one is made";
     ATTEMPT_ENDED = 2004 Info "attempt ended beside its upstream without an answer";
     ATTEMPT_DOUBTED = 2005 Info "attempt in doubt: its node does not answer a probe";
 }
--- a/tally-lab/tests/doubted_attempts.rs
+++ b/tally-lab/tests/doubted_attempts.rs
@@ -67,7 +67,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt, issue 16"]
 async fn doubt_does_not_cancel_the_only_attempt() {
     let bench = start(2, behaviour(), &section()).await;
     assert_eq!(call_over_a_pause(&bench, &spec("read", "read", WORK_MS)).await, Outcome::Answered);
@@ -77,7 +76,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt, issue 16"]
 async fn doubt_does_not_fail_a_call_without_retries() {
     let section = section().replace("idempotent: true", "idempotent: true, retries: 0");
     let bench = start(2, behaviour(), &section).await;
@@ -88,7 +86,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt, issue 16"]
 async fn refusal_beside_does_not_end_the_first_attempt() {
     let mut bench = start(3, behaviour(), &section()).await;
     start_second(&mut bench, Behaviour { sheds: true, ..behaviour() }).await;
@@ -100,7 +97,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt, issue 16"]
 async fn first_is_cancelled_only_once_the_second_has_answered() {
     let slow = Behaviour { service_ms: 60_000.0, ..behaviour() };
     // The deadline must not be what cancels the first run.
@@ -120,7 +116,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt, issue 16"]
 async fn reset_link_is_settled_when_idempotent() {
     let bench = start(2, behaviour(), &section()).await;
     assert_eq!(call_over_a_reset(&bench, &spec("read", "read", WORK_MS)).await, Outcome::Answered);
@@ -130,7 +125,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt, issue 16"]
 async fn planned_stop_does_not_break_off_a_doubted_attempt() {
     let mut bench = start(2, behaviour(), &section()).await;
     let (network, held) = (Arc::clone(&bench.fleet.network), ip(&bench, 1));
