--- a/goldcresttally-proxy/src/peer/attempts.rs
+++ b/goldcresttally-proxy/src/peer/attempts.rs
@@ -87,11 +87,13 @@
         self.end(id, |ledger| ledger.abandoned(id));
     }
 
-    /// Cancels an attempt that has not ended.
-    pub fn cancel(&self, id: AttemptId, reason: Reason) {
-        if let Some(cancelled) = self.shard(id).running.get(&id) {
+    /// Cancels an attempt that has not ended; one that has not come yet never runs.
+    pub fn cancel(&self, now: MonoTime, id: AttemptId, deadline: Deadline, reason: Reason) {
+        let mut shard = self.shard(id);
+        match shard.running.get(&id) {
             // The first reason stands.
-            let _ = cancelled.set(reason);
+            Some(cancelled) => drop(cancelled.set(reason)),
+            None => drop(shard.ledger.settle(now, id, deadline)),
         }
     }
 
--- a/goldcresttally-proxy/src/peer/settle.rs
+++ b/goldcresttally-proxy/src/peer/settle.rs
@@ -37,7 +37,9 @@
         let id = headers::parse::<AttemptId>(map, &headers::ATTEMPT);
         if let Some(id) = id.filter(|_| generation == Some(self.state.identity.generation)) {
             let reason = headers::parse(map, &headers::REASON).unwrap_or(Reason::CallerGone);
-            self.attempts.cancel(id, reason);
+            let now = self.state.clock.now();
+            let left = headers::time_left(map, &headers::DEADLINE_MS).unwrap_or(Duration::ZERO);
+            self.attempts.cancel(now, id, Deadline::after(now, left), reason);
         }
         Response::new(full(""))
     }
--- /dev/null
+++ b/goldcresttally-proxy/tests/common/mod.rs
@@ -0,0 +1,100 @@
+//! A node's peer part beside one upstream that a test drives byte by byte.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use goldcresttally_admission::Policy;
+use goldcresttally_core::Generation;
+use goldcresttally_proxy::body::{CallBody, full};
+use goldcresttally_proxy::call_log::NoLog;
+use goldcresttally_proxy::peer::LocalUpstream;
+use goldcresttally_proxy::service::Handler;
+use goldcresttally_proxy::{Clock, Conventions, Identity, Peer, State, TcpTransport};
+use http::{HeaderMap, Request, Response};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::task::TaskTracker;
+
+/// Longest wait for something that must happen; a test that needs it has failed.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+const NODE: &str = "127.0.0.1:1";
+
+/// A peer whose only upstream listens on a socket of the test.
+pub struct Bench {
+    pub peer: Arc<Peer>,
+    upstream: TcpListener,
+}
+
+impl Bench {
+    pub async fn start() -> Self {
+        let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let node = NODE.parse().unwrap();
+        let peer_address: SocketAddr = NODE.parse().unwrap();
+        let identity = Identity { node, peer: peer_address, generation: Generation(1) };
+        let conventions = Conventions { close_delimited: true, ..Conventions::default() };
+        let state = State::new(identity, Clock::start(), conventions, Arc::new(NoLog));
+        let transport = Arc::new(TcpTransport::new(None));
+        let tasks = TaskTracker::new();
+        let peer = Peer::new(Arc::new(state), transport, tasks, Policy::default(), false);
+        peer.set_upstreams(&[LocalUpstream {
+            service: "booking".parse().unwrap(),
+            address: upstream.local_addr().unwrap(),
+            slots: 4,
+            draining: false,
+            instance: None,
+        }]);
+        Self { peer: Arc::new(peer), upstream }
+    }
+
+    /// Sends a message of an entry node about the attempt `sequence`.
+    pub async fn send(&self, op: &str, sequence: u64, left: Duration) -> Response<CallBody> {
+        let mut req = Request::new(full(""));
+        let fields = [
+            ("tally-op", op.to_owned()),
+            ("tally-attempt", format!("{NODE}/1/{sequence}")),
+            ("tally-generation", "1".to_owned()),
+            ("tally-service", "booking".to_owned()),
+            ("tally-rank", "urgent".to_owned()),
+            ("tally-deadline-ms", left.as_millis().to_string()),
+        ];
+        for (name, value) in fields {
+            req.headers_mut().insert(name, value.parse().unwrap());
+        }
+        Arc::clone(&self.peer).handle(req).await
+    }
+
+    /// Takes the upstream's next connection and reads the head of its request.
+    pub async fn accept(&self) -> TcpStream {
+        let (mut stream, _) = within(self.upstream.accept()).await.unwrap();
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(within(stream.read_u8()).await.unwrap());
+        }
+        stream
+    }
+}
+
+/// Writes all of `text`.
+pub async fn write(stream: &mut TcpStream, text: &[u8]) {
+    stream.write_all(text).await.unwrap();
+}
+
+/// Waits until the other end has closed the connection.
+pub async fn closed(stream: &mut TcpStream) {
+    let mut buf = [0; 1024];
+    while matches!(within(stream.read(&mut buf)).await, Ok(n) if n > 0) {}
+}
+
+/// Waits for something that must happen.
+pub async fn within<F: Future>(what: F) -> F::Output {
+    tokio::time::timeout(LIMIT, what).await.expect("it never happened")
+}
+
+/// Returns what a failure's answer says of it: verdict and reason.
+pub fn failure(headers: &HeaderMap) -> (&str, &str) {
+    let text = |name: &str| headers.get(name).map_or("", |value| value.to_str().unwrap());
+    (text("tally-verdict"), text("tally-reason"))
+}
