A streamed answer ends at the deadline, with its caller, or as a cut

An answer over 64 KiB was passed on without a deadline: bytes without end, or an upstream that stalled, held its slot for 60 s or for ever, also after the caller had left, and a stop then cut it. Its last chunk is marked now, so that an answer ended early never looks complete, and it ends with the deadline, a cancellation or its reader.

--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -1,10 +1,9 @@
 //! Runs one attempt to its end, whether or not its entry node still listens.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::task::{Poll, ready};
 
 use bytes::Bytes;
-use futures::StreamExt;
 use goldcresttally_admission::{CallClass, Outcome};
 use goldcresttally_core::{MonoTime, NodeId, Verdict};
 use goldcresttally_ledger::Answer;
@@ -29,8 +28,12 @@
 /// Chunks of an answer that wait for the entry to take them.
 const CHUNKS_IN_FLIGHT: usize = 8;
 
-/// Time without a chunk after which a streamed answer is cut off, in seconds.
-const STREAM_IDLE_LIMIT_S: u64 = 60;
+/// A part of an answer that is passed on as it comes.
+enum Chunk {
+    Data(Bytes),
+    /// The answer is whole; without this it is a cut.
+    End,
+}
 
 /// One attempt and the way to its entry.
 pub(super) struct Run {
@@ -184,32 +187,19 @@
         true
     }
 
-    /// Passes a large answer on in chunks; a cut is passed on as a cut.
+    /// Passes a large answer on in chunks until its end, the deadline or the caller's; a cut is
+    /// passed on as a cut.
     async fn answer_in_chunks(&mut self, response: Response<Incoming>, start: Bytes) -> bool {
-        let (parts, mut body) = response.into_parts();
-        let (tx, rx) = mpsc::channel::<Result<Bytes, BoxError>>(CHUNKS_IN_FLIGHT);
-        // The channel is empty: there is room.
-        let _ = tx.try_send(Ok(start));
-        let chunks = tokio_stream(rx).map(|chunk| chunk.map(Frame::data));
-        self.send(Response::from_parts(parts, boxed(StreamBody::new(chunks))));
-        let idle = Duration::from_secs(STREAM_IDLE_LIMIT_S);
-        let whole = loop {
-            match tokio::time::timeout(idle, body.frame()).await {
-                Ok(None) => break true,
-                Ok(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else {
-                        continue;
-                    };
-                    // Nobody takes the answer any more.
-                    if tx.send(Ok(data)).await.is_err() {
-                        break false;
-                    }
-                }
-                Ok(Some(Err(_))) | Err(_) => {
-                    let _ = tx.send(Err("the upstream's answer broke off".into())).await;
-                    break false;
-                }
-            }
+        let (parts, body) = response.into_parts();
+        let (tx, rx) = mpsc::channel(CHUNKS_IN_FLIGHT);
+        self.send(Response::from_parts(parts, boxed(StreamBody::new(frames(rx)))));
+        let limit = self.peer.state.clock.instant(self.ticket.deadline);
+        let whole = tokio::select! {
+            biased;
+            whole = pass_chunks(start, body, &tx) => whole,
+            () = tx.closed() => false,
+            _ = self.cancelled.wait() => false,
+            () = tokio::time::sleep_until(limit) => false,
         };
         self.peer.attempts.done(self.ticket.attempt, None);
         whole
@@ -264,8 +254,44 @@
     }
 }
 
-fn tokio_stream<T>(mut rx: mpsc::Receiver<T>) -> impl futures::Stream<Item = T> {
-    futures::stream::poll_fn(move |cx| rx.poll_recv(cx))
+/// Passes the chunks of an answer on; returns whether all of it came and was taken.
+async fn pass_chunks(start: Bytes, mut body: Incoming, tx: &mpsc::Sender<Chunk>) -> bool {
+    let mut data = start;
+    loop {
+        if tx.send(Chunk::Data(data)).await.is_err() {
+            return false;
+        }
+        data = loop {
+            match body.frame().await {
+                None => return tx.send(Chunk::End).await.is_ok(),
+                Some(Err(_)) => return false,
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        break data;
+                    }
+                }
+            }
+        };
+    }
+}
+
+/// Returns the frames of an answer that comes in chunks.
+fn frames(
+    mut rx: mpsc::Receiver<Chunk>,
+) -> impl futures::Stream<Item = Result<Frame<Bytes>, BoxError>> {
+    let mut ended = false;
+    futures::stream::poll_fn(move |cx| {
+        if ended {
+            return Poll::Ready(None);
+        }
+        let chunk = ready!(rx.poll_recv(cx));
+        ended = !matches!(chunk, Some(Chunk::Data(_)));
+        Poll::Ready(match chunk {
+            Some(Chunk::Data(data)) => Some(Ok(Frame::data(data))),
+            Some(Chunk::End) => None,
+            None => Some(Err("the upstream's answer broke off".into())),
+        })
+    })
 }
 
 impl Peer {
