A planned stop waits for answers on their way, and refuses as not run what it has not begun

An answer over 64 KiB counted as ended with its head, and connections had 200 ms to finish: a stop cut what a slow reader still had to get (LOST). Requests that were read after the last look at the calls in flight were told 504 though nothing had been sent. Now an answer on its way counts as in flight, listeners may close until the drain deadline, calls are refused from the last look on, and a call that a stopping node must end is refused as not run when no attempt was made.

--- a/goldcresttally-proxy/src/body.rs
+++ b/goldcresttally-proxy/src/body.rs
@@ -32,6 +32,40 @@
     body.map_err(Into::into).boxed_unsync()
 }
 
+/// A body on its way that holds something until it has ended.
+#[derive(Debug)]
+pub struct Holding<T> {
+    body: CallBody,
+    _held: T,
+}
+
+impl<T> Holding<T> {
+    /// Lets `body` hold `held`.
+    pub fn new(body: CallBody, held: T) -> Self {
+        Self { body, _held: held }
+    }
+}
+
+impl<T: Unpin> Body for Holding<T> {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Reads a body as a whole if it has at most `BUFFER_LIMIT_BYTES`.
 ///
 /// Returns the part that was read and, for a larger body, the rest of it.
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -12,9 +12,9 @@
 use super::Entry;
 use super::call::{Attempt, Call};
 use super::keyed::KeptBody;
-use super::observe::{InFlight, Watched};
+use super::observe::InFlight;
 use super::race::{Doubt, Race};
-use crate::body::{BUFFER_LIMIT_BYTES, CallBody, Replay, boxed, full};
+use crate::body::{BUFFER_LIMIT_BYTES, CallBody, Holding, Replay, boxed, full};
 use crate::call_log::CallEvent;
 use crate::errors::{CallError, Reason};
 use crate::headers;
@@ -149,7 +149,7 @@
         headers::strip_internal(&mut parts.headers);
         let length = headers::parse::<usize>(&parts.headers, &http::header::CONTENT_LENGTH);
         if length.is_none_or(|n| n > BUFFER_LIMIT_BYTES) {
-            let body = boxed(Watched::new(body, in_flight));
+            let body = boxed(Holding::new(body, in_flight));
             return Ok(Response::from_parts(parts, body));
         }
         // A small answer whose connection breaks half-way can still be had from the ledger.
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -15,9 +15,10 @@
 use goldcresttally_routing::{Ejection, Picker, Tries};
 use http::header::{CONNECTION, RETRY_AFTER};
 use http::{Request, Response, StatusCode};
+use hyper::body::Body;
 use tokio_util::task::TaskTracker;
 
-use crate::body::CallBody;
+use crate::body::{BUFFER_LIMIT_BYTES, CallBody, Holding, boxed};
 use crate::call_log::{CallEvent, CallInfo};
 use crate::claims::ClaimStore;
 use crate::errors::{CallError, Reason};
@@ -113,9 +114,14 @@
         };
         let mut tries = Tries::default();
         let result = tokio::select! {
-            result = call.run(body, &mut tries) => result,
-            () = self.state.ending() => Err(CallError::may_have_run(Reason::Stopped)),
+            biased;
+            result = call.run(body, &mut tries) => Some(result),
+            () = self.state.ending() => None,
         };
+        let result = result.unwrap_or_else(|| match tries.verdict_so_far() {
+            Verdict::NotRun => Err(CallError::not_run(Reason::Draining)),
+            _ => Err(CallError::may_have_run(Reason::Stopped)),
+        });
         let latency = self.state.clock.now().since(started);
         self.record(&call, &result, latency);
         match result {
@@ -173,8 +179,12 @@
     async fn handle(self: Arc<Self>, req: Request<CallBody>) -> Response<CallBody> {
         let state = Arc::clone(&self.state);
         let http1 = req.version() < http::Version::HTTP_2;
-        let _in_flight = state.enter_call();
+        let in_flight = state.enter_call();
         let mut response = self.answer(req).await;
+        // What is at hand as a whole goes out with the head.
+        if response.body().size_hint().exact().is_none_or(|n| n > BUFFER_LIMIT_BYTES as u64) {
+            response = response.map(|body| boxed(Holding::new(body, in_flight)));
+        }
         // The caller's next call goes to a node that stays.
         if state.is_leaving() && http1 {
             headers::set(response.headers_mut(), CONNECTION, "close");
--- a/goldcresttally-proxy/src/entry/observe.rs
+++ b/goldcresttally-proxy/src/entry/observe.rs
@@ -1,18 +1,15 @@
 //! What the entry learns from each attempt about the endpoint that ran it.
 
-use std::pin::Pin;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use goldcresttally_core::{MonoTime, Verdict};
 use goldcresttally_routing::{Asked, Endpoint};
 use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Response, StatusCode};
-use hyper::body::{Body, Frame, SizeHint};
+use hyper::body::Body;
 
 use super::call::{Attempt, Call};
-use crate::body::{BoxError, CallBody};
+use crate::body::CallBody;
 use crate::errors::{CallError, Reason};
 use crate::headers;
 use crate::state::State;
@@ -45,38 +42,6 @@
     }
 }
 
-/// A body on its way to the caller; the attempt is in flight until it ends.
-pub(super) struct Watched {
-    body: CallBody,
-    _in_flight: InFlight,
-}
-
-impl Watched {
-    pub fn new(body: CallBody, in_flight: InFlight) -> Self {
-        Self { body, _in_flight: in_flight }
-    }
-}
-
-impl Body for Watched {
-    type Data = Bytes;
-    type Error = BoxError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 impl Call {
     /// Notes how an attempt ended; a failure of one that was `doubted` was noted then.
     pub(super) fn observe(
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -211,6 +211,11 @@
         self.leaving.store(true, Ordering::Release);
     }
 
+    /// Refuses callers from now on; calls in flight go on.
+    pub fn refuse_calls(&self) {
+        self.takes_until_us.store(0, Ordering::Release);
+    }
+
     /// Tells whether this node can see a call that ends by `deadline` to its end.
     pub fn outlasts(&self, deadline: Deadline) -> bool {
         let takes_until = Deadline(MonoTime(self.takes_until_us.load(Ordering::Acquire)));
--- a/goldcresttally-routing/src/tries.rs
+++ b/goldcresttally-routing/src/tries.rs
@@ -70,6 +70,14 @@
         self.verdict
     }
 
+    /// Returns the verdict on all attempts, as one in flight may have run.
+    pub fn verdict_so_far(&self) -> Verdict {
+        match self.in_flight {
+            0 => self.verdict,
+            _ => self.verdict.max(Verdict::MayHaveRun),
+        }
+    }
+
     /// Notes the failure of an attempt while another one, which is not in doubt, is in flight.
     pub fn on_end(&mut self, failure: Failure) {
         self.verdict = self.verdict.max(failure.verdict);
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -86,6 +86,7 @@
     /// Tasks of calls and connections.
     tasks: TaskTracker,
     call_listeners: Vec<JoinHandle<()>>,
+    peer_listeners: Vec<JoinHandle<()>>,
     listeners: Vec<JoinHandle<()>>,
 }
 
@@ -156,6 +157,7 @@
             stop: CancellationToken::new(),
             tasks,
             call_listeners: Vec::new(),
+            peer_listeners: Vec::new(),
             listeners: Vec::new(),
         };
         node.listen(entries, document).await?;
@@ -187,7 +189,7 @@
         let peer = |handle| (handle, HandlerService(Arc::clone(&self.peer)));
         let peer = self.workers.handles().into_iter().map(peer).collect();
         let serve = server::serve(peers, peer, LimitsSpec::default, stop.clone(), tasks.clone());
-        self.listeners.push(tokio::spawn(serve));
+        self.peer_listeners.push(tokio::spawn(serve));
         let serve = operator::serve(operators, operator, stop.clone());
         self.listeners.push(tokio::spawn(serve));
         if let Some(address) = self.settings.node.metrics {
--- a/goldcresttallyd/src/node/stop.rs
+++ b/goldcresttallyd/src/node/stop.rs
@@ -9,7 +9,8 @@
 use crate::control::Command;
 use crate::events::{self, emit};
 
-/// Time that listeners have to close once nothing is in flight, in milliseconds.
+/// Time that listeners have to close beyond the drain deadline, and that operators' connections
+/// have at all, in milliseconds.
 const CLOSE_LIMIT_MS: u64 = 200;
 
 /// Time within which nearly all others know that this node leaves, in milliseconds: some rounds
@@ -37,20 +38,27 @@
         // Until the others know, they send calls here; these are refused as not run.
         let notice = requests.leave_notice_ms.min(GOSSIP_NOTICE_MS);
         tokio::time::sleep(Duration::from_millis(notice)).await;
+        self.calls_end(ends_by).await;
+        // A call may have come between the last look and the refusal.
+        self.state.refuse_calls();
         let ended = self.calls_end(ends_by).await;
         if !ended {
             emit(events::DRAIN_OVERRUN, format_args!("after {} ms", requests.drain_ms));
+            self.state.end_calls();
         }
-        self.state.end_calls();
+        // Answers that were given may still be on their way to slow readers.
+        let limit = self.state.clock.instant(ends_by) + Duration::from_millis(CLOSE_LIMIT_MS);
         self.stop_calls.cancel();
-        let limit = Instant::now() + Duration::from_millis(CLOSE_LIMIT_MS);
         join_by(limit, &mut self.call_listeners).await;
+        self.stop.cancel();
+        join_by(limit, &mut self.peer_listeners).await;
         self.close().await;
         ended
     }
 
     /// Ends at once, as a crash would: cuts what is in flight.
     pub async fn kill(mut self) {
+        self.call_listeners.append(&mut self.peer_listeners);
         self.call_listeners.append(&mut self.listeners);
         join_by(Instant::now(), &mut self.call_listeners).await;
         self.workers.stop().await;
@@ -73,7 +81,6 @@
     }
 
     async fn close(mut self) {
-        self.stop.cancel();
         let limit = Instant::now() + Duration::from_millis(CLOSE_LIMIT_MS);
         join_by(limit, &mut self.listeners).await;
         self.tasks.close();
