A node that learns of the others before it has joined gets its part of the retry budget

A node of which the others knew first had no change after that: its reserve of retries stayed at nothing, and its calls ended with their first failure. The view is published when a node finds that it has joined.

--- a/goldcresttallyd/src/control/join.rs
+++ b/goldcresttallyd/src/control/join.rs
@@ -148,12 +148,19 @@
         };
         // With nobody else on the list there is nobody to join yet.
         if self.is_alone() {
-            self.joined.set(strangers.is_empty());
+            self.set_joined(strangers.is_empty());
         }
         *self.listed.borrow_mut() = nodes;
         strangers
     }
 
+    /// Notes whether this node has joined; the view tells the request path of it.
+    fn set_joined(&self, joined: bool) {
+        if self.joined.replace(joined) != joined {
+            self.view_changed.set(true);
+        }
+    }
+
     /// Joins through some of `strangers`; returns those that could not be joined for long.
     async fn meet(
         self: &Rc<Self>,
@@ -184,7 +191,7 @@
         let answered = result.is_ok();
         match result {
             Ok(Some(joined)) => {
-                self.joined.set(true);
+                self.set_joined(true);
                 let now = self.now();
                 // Without a floor there is another attempt, at the pace of failures.
                 match joined.floor {
