A request whose body does not come ends as not run, and nothing is left of it

Between nodes the same is a refusal with the reason deadline. An attempt whose link broke while its body was read stayed in the ledger and among the running ones for ever; it ends as not run. Tests: goldcresttally-proxy/tests/cancelled_attempts.rs (before: bad-request; 2 entries instead of 1 after an hour), request_that_does_not_come_in_time in tally-lab/tests/bad_input.rs.

--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -138,7 +138,8 @@
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
                 return Err(CallError::not_run(Reason::TooLarge));
             }
-            Ok(Err(_)) | Err(_) => return Err(CallError::not_run(Reason::BadRequest)),
+            Ok(Err(_)) => return Err(CallError::not_run(Reason::BadRequest)),
+            Err(_) => return Err(CallError::not_run(Reason::RequestTimeout)),
         };
         match &self.key {
             Some(key) => self.run_keyed(key, &body, tries).await,
--- a/goldcresttally-proxy/src/errors.rs
+++ b/goldcresttally-proxy/src/errors.rs
@@ -90,8 +90,10 @@
     UpstreamFailed = "upstream-failed" => BAD_GATEWAY,
     /// The upstream's answer was cut or malformed.
     BadAnswer = "bad-answer" => BAD_GATEWAY,
-    /// The caller's request broke off, was malformed or too slow.
+    /// The caller's request broke off or was malformed.
     BadRequest = "bad-request" => BAD_REQUEST,
+    /// The caller's request had not come by its deadline.
+    RequestTimeout = "request-timeout" => REQUEST_TIMEOUT,
     /// The route demands an idempotency key.
     KeyMissing = "key-missing" => BAD_REQUEST,
     /// The key was used for another call.
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -15,7 +15,7 @@
 
 use arc_swap::ArcSwap;
 use goldcresttally_admission::{Load, Policy};
-use goldcresttally_core::{InstanceId, Map, ServiceName};
+use goldcresttally_core::{AttemptId, InstanceId, Map, ServiceName};
 use http::{Request, Response};
 use tokio_util::task::TaskTracker;
 
@@ -169,11 +169,14 @@
         let (parts, body) = req.into_parts();
         let read = Replay::read(body);
         let limit = self.state.clock.instant(ticket.deadline);
-        let Ok(Ok(body)) = tokio::time::timeout_at(limit, read).await else {
-            // The body broke off before anything was sent to the upstream.
-            self.attempts.not_run(ticket.attempt);
-            return CallError::not_run(Reason::BadRequest).into_response();
+        // Nothing is sent to the upstream before the start of the body has come.
+        let begun = Begun { peer: self, attempt: ticket.attempt };
+        let body = match tokio::time::timeout_at(limit, read).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(_)) => return CallError::not_run(Reason::BadRequest).into_response(),
+            Err(_) => return CallError::not_run(Reason::Deadline).into_response(),
         };
+        begun.goes_on();
         // The attempt goes on when the connection that brought it breaks: its entry node will ask
         // for the outcome on another one.
         let (tx, rx) = tokio::sync::oneshot::channel();
@@ -192,6 +195,25 @@
     }
 }
 
+/// An attempt that has come and whose body has not; it ends as not run when this is dropped.
+struct Begun<'a> {
+    peer: &'a Peer,
+    attempt: AttemptId,
+}
+
+impl Begun<'_> {
+    /// Leaves the attempt's end to whoever runs it.
+    fn goes_on(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for Begun<'_> {
+    fn drop(&mut self) {
+        self.peer.attempts.not_run(self.attempt);
+    }
+}
+
 impl Handler for Peer {
     async fn handle(self: Arc<Self>, req: Request<CallBody>) -> Response<CallBody> {
         self.answer(req).await
--- a/goldcresttally-proxy/tests/cancelled_attempts.rs
+++ b/goldcresttally-proxy/tests/cancelled_attempts.rs
@@ -2,9 +2,16 @@
 
 mod common;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use common::{Bench, LIMIT, closed, failure};
+use common::{Bench, LIMIT, closed, failure, stalled_body, within};
+
+/// Shards of the ledger; an attempt's is its sequence's remainder.
+const SHARDS: u64 = 16;
+
+/// A wait that is meant to run out.
+const SHORT: Duration = Duration::from_millis(200);
 
 #[tokio::test]
 async fn cancelled_before_it_came() {
@@ -27,6 +34,25 @@
     assert_eq!(failure(ended.headers()), ("may-have-run", "caller-gone"));
 }
 
+#[tokio::test]
+async fn broken_off_before_its_body_is_forgotten_in_time() {
+    let bench = Bench::start().await;
+    let call = bench.send_body("call", 1, LIMIT, stalled_body());
+    tokio::time::timeout(SHORT, call).await.unwrap_err();
+    assert_eq!(bench.peer.ledger_size().0, 1);
+    bench.ahead_us.fetch_add(Duration::from_hours(1).as_micros() as u64, Ordering::Relaxed);
+    // A shard of the ledger expires what it holds with its next message.
+    bench.send("cancel", 1 + SHARDS, LIMIT).await;
+    assert_eq!(bench.peer.ledger_size().0, 1);
+}
+
+#[tokio::test]
+async fn body_that_does_not_come_ends_as_not_run() {
+    let bench = Bench::start().await;
+    let refused = within(bench.send_body("call", 1, SHORT, stalled_body())).await;
+    assert_eq!(failure(refused.headers()), ("not-run", "deadline"));
+}
+
 #[tokio::test]
 async fn cancelled_after_its_end() {
     let bench = Bench::start().await;
--- a/goldcresttally-proxy/tests/common/mod.rs
+++ b/goldcresttally-proxy/tests/common/mod.rs
@@ -3,16 +3,20 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use bytes::Bytes;
 use goldcresttally_admission::Policy;
 use goldcresttally_core::Generation;
-use goldcresttally_proxy::body::{CallBody, full};
+use goldcresttally_proxy::body::{BoxError, CallBody, boxed, full};
 use goldcresttally_proxy::call_log::NoLog;
 use goldcresttally_proxy::peer::LocalUpstream;
 use goldcresttally_proxy::service::Handler;
 use goldcresttally_proxy::{Clock, Conventions, Identity, Peer, State, TcpTransport};
 use http::{HeaderMap, Request, Response};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::task::TaskTracker;
@@ -25,6 +29,8 @@
 /// A peer whose only upstream listens on a socket of the test.
 pub struct Bench {
     pub peer: Arc<Peer>,
+    /// Time by which the peer's clock is ahead, in microseconds.
+    pub ahead_us: &'static AtomicU64,
     upstream: TcpListener,
 }
 
@@ -35,7 +41,9 @@
         let peer_address: SocketAddr = NODE.parse().unwrap();
         let identity = Identity { node, peer: peer_address, generation: Generation(1) };
         let conventions = Conventions { close_delimited: true, ..Conventions::default() };
-        let state = State::new(identity, Clock::start(), conventions, Arc::new(NoLog));
+        let ahead_us: &AtomicU64 = Box::leak(Box::default());
+        let clock = Clock::start_ahead(ahead_us);
+        let state = State::new(identity, clock, conventions, Arc::new(NoLog));
         let transport = Arc::new(TcpTransport::new(None));
         let tasks = TaskTracker::new();
         let peer = Peer::new(Arc::new(state), transport, tasks, Policy::default(), false);
@@ -46,12 +54,23 @@
             draining: false,
             instance: None,
         }]);
-        Self { peer: Arc::new(peer), upstream }
+        Self { peer: Arc::new(peer), ahead_us, upstream }
     }
 
     /// Sends a message of an entry node about the attempt `sequence`.
     pub async fn send(&self, op: &str, sequence: u64, left: Duration) -> Response<CallBody> {
-        let mut req = Request::new(full(""));
+        self.send_body(op, sequence, left, full("")).await
+    }
+
+    /// Sends a message with a body.
+    pub async fn send_body(
+        &self,
+        op: &str,
+        sequence: u64,
+        left: Duration,
+        body: CallBody,
+    ) -> Response<CallBody> {
+        let mut req = Request::new(body);
         let fields = [
             ("tally-op", op.to_owned()),
             ("tally-attempt", format!("{NODE}/1/{sequence}")),
@@ -77,6 +96,11 @@
     }
 }
 
+/// Returns a body of which nothing comes.
+pub fn stalled_body() -> CallBody {
+    boxed(StreamBody::new(futures::stream::pending::<Result<Frame<Bytes>, BoxError>>()))
+}
+
 /// Writes all of `text`.
 pub async fn write(stream: &mut TcpStream, text: &[u8]) {
     stream.write_all(text).await.unwrap();
--- a/tally-lab/tests/bad_input.rs
+++ b/tally-lab/tests/bad_input.rs
@@ -7,6 +7,7 @@
 use common::{Bench, behaviour, spec};
 use goldcresttally_cli::{ExitStatus, NodeClient};
 use http::Method;
+use tally_lab::documents;
 use tally_lab::load::Outcome;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
@@ -50,6 +51,21 @@
     bench.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_does_not_come_in_time() {
+    let section = documents::service("booking", 300, 64);
+    let bench = Bench::start_with(2, &[(1, behaviour())], &section).await;
+    let mut stream = TcpStream::connect(bench.entry(0)).await.unwrap();
+    let head = "POST /booking/urgent/write HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut buf = [0; 512];
+    let read = tokio::time::timeout(common::LIMIT, stream.read(&mut buf)).await.unwrap().unwrap();
+    let answer = String::from_utf8_lossy(&buf[..read]);
+    assert!(answer.starts_with("HTTP/1.1 408 ") && answer.contains("not-run"), "{answer}");
+    assert_eq!(bench.record.runs().len(), 0);
+    bench.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_announcements() {
     let bench = Bench::start(1, &[]).await;
