Calls that are cancelled while a node is paused do not cost the link its other calls

The HTTP/2 library closes a connection on which more than a few streams were opened and reset before they were accepted. A node that was paused or short of processor time wakes to just that, and every other call on the link was lost. Between nodes the limit is that of the streams; callers keep the library's.

--- a/goldcresttally-proxy/src/server.rs
+++ b/goldcresttally-proxy/src/server.rs
@@ -36,12 +36,22 @@
 /// Wait after a failed accept, in milliseconds.
 const ACCEPT_RETRY_MS: u64 = 50;
 
+/// Who connects to a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Clients {
+    /// Callers, who may do anything.
+    Callers,
+    /// Other nodes, which cancel calls in numbers while this one is paused.
+    Nodes,
+}
+
 /// Serves HTTP/1.1 and HTTP/2 on `listener` until `stop`, then finishes what is in flight.
 ///
 /// Each connection is served by the next of `workers`: a runtime and the service to use on it. It
 /// keeps the limits that `limits` returns as it begins.
 pub async fn serve<S>(
     listener: TcpListener,
+    clients: Clients,
     workers: Vec<(Handle, S)>,
     limits: impl Fn() -> LimitsSpec + Send,
     stop: CancellationToken,
@@ -65,7 +75,11 @@
         };
         let Ok(stream) = stream.into_std() else { continue };
         let (handle, service) = &workers[turn % workers.len()];
-        let builder = builder(limits());
+        let mut builder = builder(limits());
+        if clients == Clients::Nodes {
+            // The library's default closes the connection with all other calls on it.
+            builder.http2().max_pending_accept_reset_streams(STREAM_LIMIT as usize);
+        }
         let service = Adapter(service.clone());
         let connection = serve_connection(stream, builder, service, graceful.watcher());
         tasks.spawn_on(connection, handle);
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -11,10 +11,9 @@
 use goldcresttally_membership::{Record, Status};
 use goldcresttally_proxy::entry::{Entry, Options};
 use goldcresttally_proxy::link::Links;
+use goldcresttally_proxy::server::{self, Clients};
 use goldcresttally_proxy::service::HandlerService;
-use goldcresttally_proxy::{
-    Clock, Identity, Peer, State, TcpTransport, Transport, Workers, clock, server,
-};
+use goldcresttally_proxy::{Clock, Identity, Peer, State, TcpTransport, Transport, Workers, clock};
 use goldcresttally_report::Recorder;
 use goldcresttally_store::{
     Directory, Document, DocumentSource, HttpPlatform, NoStore, ObjectStore, TableStore,
@@ -184,11 +183,25 @@
         let (tasks, stop) = (&self.tasks, &self.stop);
         let state = Arc::clone(&self.state);
         let limits = move || state.serving().snapshot.limits();
-        let serve = server::serve(calls, entries, limits, self.stop_calls.clone(), tasks.clone());
+        let serve = server::serve(
+            calls,
+            Clients::Callers,
+            entries,
+            limits,
+            self.stop_calls.clone(),
+            tasks.clone(),
+        );
         self.call_listeners.push(tokio::spawn(serve));
         let peer = |handle| (handle, HandlerService(Arc::clone(&self.peer)));
         let peer = self.workers.handles().into_iter().map(peer).collect();
-        let serve = server::serve(peers, peer, LimitsSpec::default, stop.clone(), tasks.clone());
+        let serve = server::serve(
+            peers,
+            Clients::Nodes,
+            peer,
+            LimitsSpec::default,
+            stop.clone(),
+            tasks.clone(),
+        );
         self.peer_listeners.push(tokio::spawn(serve));
         let serve = operator::serve(operators, operator, stop.clone());
         self.listeners.push(tokio::spawn(serve));
