--- a/goldcresttally-proxy/tests/streamed_answers.rs
+++ b/goldcresttally-proxy/tests/streamed_answers.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use common::{Bench, LIMIT, closed, within, write};
+use goldcresttally_proxy::body::CallBody;
+use http::Response;
 use http_body_util::BodyExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -21,6 +23,16 @@
     write(stream, &vec![b'x'; LARGE]).await;
 }
 
+/// Makes a call and starts its answer; returns both ends of it.
+async fn begun(bench: &Bench, left: Duration) -> (Response<CallBody>, TcpStream) {
+    let upstream = async {
+        let mut upstream = bench.accept().await;
+        begin_answer(&mut upstream).await;
+        upstream
+    };
+    tokio::join!(bench.send("call", 1, left), upstream)
+}
+
 /// Writes the same bytes until the other end closes the connection.
 async fn flood(mut stream: TcpStream, bytes: Vec<u8>) {
     while stream.write_all(&bytes).await.is_ok() {}
@@ -42,12 +54,7 @@
 #[tokio::test]
 async fn endless_answer_ends_as_a_cut() {
     let bench = Bench::start().await;
-    let upstream = async {
-        let mut upstream = bench.accept().await;
-        begin_answer(&mut upstream).await;
-        upstream
-    };
-    let (answer, upstream) = tokio::join!(bench.send("call", 1, SHORT), upstream);
+    let (answer, upstream) = begun(&bench, SHORT).await;
     let upstream = tokio::spawn(flood(upstream, vec![b'x'; LARGE]));
     within(answer.into_body().collect()).await.unwrap_err();
     within(upstream).await.unwrap();
@@ -56,12 +63,7 @@
 #[tokio::test]
 async fn stalled_answer_ends_as_a_cut() {
     let bench = Bench::start().await;
-    let upstream = async {
-        let mut upstream = bench.accept().await;
-        begin_answer(&mut upstream).await;
-        upstream
-    };
-    let (answer, mut upstream) = tokio::join!(bench.send("call", 1, SHORT), upstream);
+    let (answer, mut upstream) = begun(&bench, SHORT).await;
     within(answer.into_body().collect()).await.unwrap_err();
     closed(&mut upstream).await;
 }
@@ -69,12 +71,7 @@
 #[tokio::test]
 async fn unread_answer_ends_as_a_cut() {
     let bench = Bench::start().await;
-    let upstream = async {
-        let mut upstream = bench.accept().await;
-        begin_answer(&mut upstream).await;
-        upstream
-    };
-    let (answer, upstream) = tokio::join!(bench.send("call", 1, SHORT), upstream);
+    let (answer, upstream) = begun(&bench, SHORT).await;
     let upstream = tokio::spawn(flood(upstream, vec![b'x'; LARGE]));
     // Nobody reads until the upstream has been let go.
     within(upstream).await.unwrap();
@@ -84,12 +81,7 @@
 #[tokio::test]
 async fn caller_gone_frees_the_upstream() {
     let bench = Bench::start().await;
-    let upstream = async {
-        let mut upstream = bench.accept().await;
-        begin_answer(&mut upstream).await;
-        upstream
-    };
-    let (answer, mut upstream) = tokio::join!(bench.send("call", 1, LIMIT * 10), upstream);
+    let (answer, mut upstream) = begun(&bench, LIMIT * 10).await;
     let mut body = answer.into_body();
     let mut read = 0;
     while read < LARGE {
