A node that answers after it seemed silent is chosen again at once

A probe that is answered late (a full link, a node short of processor time) left the node out for one to eight seconds, and its calls went to others that were as busy. An answer shows that it is not silent. Test: silent_is_left_out_until_it_answers (routing/tests/endpoint_choice.rs).

--- a/goldcresttally-routing/src/endpoint.rs
+++ b/goldcresttally-routing/src/endpoint.rs
@@ -79,10 +79,12 @@
         self.in_flight[class(rank)].fetch_sub(1, Ordering::Relaxed);
     }
 
-    /// Notes an answer.
+    /// Notes an answer: a node that was silent is so no more.
     pub fn answered(&self) {
         self.failures.store(0, Ordering::Relaxed);
-        self.silences.store(0, Ordering::Relaxed);
+        if self.silences.swap(0, Ordering::Relaxed) > 0 {
+            self.ejected_until_us.store(0, Ordering::Relaxed);
+        }
         self.note_outcome(false);
     }
 
--- a/goldcresttally-routing/tests/endpoint_choice.rs
+++ b/goldcresttally-routing/tests/endpoint_choice.rs
@@ -134,6 +134,17 @@
     assert_eq!(pick(&list, &[]), Some(4));
 }
 
+#[test]
+fn silent_is_left_out_until_it_answers() {
+    let ejection = Ejection::default();
+    let endpoints = [endpoint(1, Locality::Domain), endpoint(2, Locality::Region)];
+    ejection.on_silent(NOW, &endpoints[0]);
+    assert_eq!(pick(&endpoints, &[]), Some(2));
+    // The probe was answered late: the attempt that was in doubt has its answer.
+    endpoints[0].observed.answered();
+    assert_eq!(pick(&endpoints, &[]), Some(1));
+}
+
 #[test]
 fn tried_and_ejected_are_left_out() {
     let list = [endpoint(1, Locality::Domain), endpoint(2, Locality::Domain)];
