Idle connections do not delay a planned stop

An answer on its way counts as in flight already; what is left is the writing out of buffers, which has a second. Test: idle_connections_do_not_delay_it (tally-lab/tests/planned_stop.rs).

--- a/goldcresttallyd/src/node/stop.rs
+++ b/goldcresttallyd/src/node/stop.rs
@@ -9,10 +9,13 @@
 use crate::control::Command;
 use crate::events::{self, emit};
 
-/// Time that listeners have to close beyond the drain deadline, and that operators' connections
-/// have at all, in milliseconds.
+/// Time that operators' connections have to close, in milliseconds.
 const CLOSE_LIMIT_MS: u64 = 200;
 
+/// Time that connections have to write out what they hold once nothing is in flight, in
+/// milliseconds: a few buffers over the slowest link of a VM.
+const FLUSH_LIMIT_MS: u64 = 1000;
+
 /// Time within which nearly all others know that this node leaves, in milliseconds: some rounds
 /// of gossip.
 const GOSSIP_NOTICE_MS: u64 = 1000;
@@ -46,8 +49,9 @@
             emit(events::DRAIN_OVERRUN, format_args!("after {} ms", requests.drain_ms));
             self.state.end_calls();
         }
-        // Answers that were given may still be on their way to slow readers.
-        let limit = self.state.clock.instant(ends_by) + Duration::from_millis(CLOSE_LIMIT_MS);
+        let flush = Instant::now() + Duration::from_millis(FLUSH_LIMIT_MS);
+        let least = Instant::now() + Duration::from_millis(CLOSE_LIMIT_MS);
+        let limit = flush.min(self.state.clock.instant(ends_by)).max(least);
         self.stop_calls.cancel();
         join_by(limit, &mut self.call_listeners).await;
         self.stop.cancel();
--- a/tally-lab/tests/planned_stop.rs
+++ b/tally-lab/tests/planned_stop.rs
@@ -7,6 +7,7 @@
 use common::{Bench, LIMIT, behaviour};
 use goldcresttally_standin::upstream::Behaviour;
 use tally_lab::documents;
+use tally_lab::fleet::FleetOptions;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -57,6 +58,27 @@
     bench.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_do_not_delay_it() {
+    let mut bench = bench(behaviour()).await;
+    let get = "GET /booking/urgent/read HTTP/1.1\r\nhost: h\r\n\r\n";
+    // One connection after an answer, one before its first byte, one within a head; and a link.
+    let mut idle = request(&bench, get).await;
+    read_head(&mut idle).await;
+    let _fresh = request(&bench, "").await;
+    let _half = request(&bench, "GET /boo").await;
+    let stopped = async {
+        assert!(bench.fleet.stop_node(0).await, "the stop overran");
+    };
+    // The drain deadline is what an overrun waits for.
+    let drain = tokio::time::sleep(Duration::from_millis(FleetOptions::default().drain_ms));
+    tokio::select! {
+        () = stopped => {}
+        () = drain => panic!("the stop took the whole drain time"),
+    }
+    bench.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn what_was_not_begun_is_refused_as_not_run() {
     let bench = bench(behaviour()).await;
