A call whose outcome is asked for ends 200 ms after its deadline at the latest

The wait for another node's verdict has one bound. The probe before a call that must not run twice ends with the call's deadline.

--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt: sends the call to its node, and asks that node when the connection breaks.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use goldcresttally_core::{Deadline, NodeId};
 use goldcresttally_routing::silence::check_after;
@@ -20,9 +19,6 @@
 use crate::headers;
 use crate::link::{Carrier, LinkError};
 
-/// Time after the deadline for which the peer's verdict is waited for, in milliseconds.
-const VERDICT_GRACE_MS: u64 = 200;
-
 /// The node that ran the attempt whose answer this is.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RanAt(pub NodeId);
@@ -37,10 +33,12 @@
 impl Drop for CancelGuard<'_> {
     fn drop(&mut self) {
         if let Some(attempt) = self.attempt.take() {
-            let reason = match self.entry.state.is_ending() {
-                _ if self.race.is_won() => Reason::Superseded,
-                true => Reason::Stopped,
-                false => Reason::CallerGone,
+            let reason = if self.race.is_won() {
+                Reason::Superseded
+            } else if self.entry.state.is_ending() {
+                Reason::Stopped
+            } else {
+                Reason::CallerGone
             };
             let entry = Arc::clone(self.entry);
             self.entry.tasks.spawn(async move { entry.cancel(&attempt, reason).await });
@@ -87,8 +85,7 @@
     ) -> Result<Response<CallBody>, CallError> {
         let probe = !self.route.idempotent;
         // The peer ends the attempt at the deadline and knows whether it ran.
-        let grace = Duration::from_millis(VERDICT_GRACE_MS);
-        let limit = Deadline::after(self.deadline.0, grace);
+        let limit = self.verdict_by();
         let check = check_after(self.route.target);
         let peer = attempt.endpoint.peer;
         let links = &self.entry.links;
@@ -108,6 +105,7 @@
         match sent {
             Ok(response) => Ok(response.map(boxed)),
             Err(LinkError::NotSent) => Err(CallError::not_run(Reason::Unreachable)),
+            // A link that is silent was found so above.
             Err(LinkError::TimedOut | LinkError::Silent(_)) => {
                 self.give_up(attempt, Reason::Deadline);
                 Err(CallError::may_have_run(Reason::Deadline))
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -22,6 +22,9 @@
 use crate::headers;
 use crate::state::{EntryLimits, Serving};
 
+/// Time after the deadline for which another node's verdict is waited for, in milliseconds.
+const VERDICT_GRACE_MS: u64 = 200;
+
 /// Longest random wait before another attempt, in milliseconds.
 const RETRY_JITTER_MS: u64 = 10;
 
@@ -329,6 +332,11 @@
         }
     }
 
+    /// Returns until when the verdict of another node is waited for.
+    pub fn verdict_by(&self) -> Deadline {
+        Deadline::after(self.deadline.0, Duration::from_millis(VERDICT_GRACE_MS))
+    }
+
     /// Returns the instant of the call's deadline.
     pub fn timer(&self) -> tokio::time::Instant {
         self.entry.state.clock.instant(self.deadline)
--- a/goldcresttally-proxy/src/entry/settle.rs
+++ b/goldcresttally-proxy/src/entry/settle.rs
@@ -24,9 +24,6 @@
 /// Time within which a node must take a cancellation, in milliseconds.
 const CANCEL_TIMEOUT_MS: u64 = 500;
 
-/// Time after a call's deadline for which its outcome is still asked for, in milliseconds.
-const SETTLE_GRACE_MS: u64 = 300;
-
 /// Questions that may go unanswered because no connection stands.
 const UNREACHABLE_LIMIT: u32 = 5;
 
@@ -59,14 +56,15 @@
             return None;
         }
         self.entry.state.counters.settled.add();
-        self.entry.ask(attempt, self.deadline).await
+        let by = self.verdict_by();
+        let asked = self.entry.ask(attempt, by);
+        tokio::time::timeout_at(self.entry.state.clock.instant(by), asked).await.ok().flatten()
     }
 }
 
 impl Entry {
     /// Asks what became of an attempt, until `deadline`; `None` when the node cannot be reached.
     pub(super) async fn ask(&self, attempt: &Attempt, deadline: Deadline) -> Option<Settlement> {
-        let deadline = Deadline::after(deadline.0, Duration::from_millis(SETTLE_GRACE_MS));
         let mut unreachable = 0;
         let mut running = false;
         while !deadline.is_past(self.state.clock.now()) {
--- a/goldcresttally-proxy/src/link/mod.rs
+++ b/goldcresttally-proxy/src/link/mod.rs
@@ -214,6 +214,7 @@
         let slot = self.slot(to);
         if let Some(link) = slot.link.load_full().filter(|l| !l.sender.is_closed()) {
             let limit = Duration::from_millis(FIRST_PROBE_TIMEOUT_MS);
+            let limit = limit.min(deadline.remaining(self.clock().now()));
             if !probe || link.is_fresh(self.clock().now()) || self.probe(&link, limit).await {
                 return Ok(link);
             }
