Race of attempts in two functions; guards of unsafe calls have an endpoint to go to

Review of: with one endpoint no attempt beside the first could be made whatever the call's kind, so the two guards of unsafe calls could not have shown one. They pass with a second endpoint too.

--- a/goldcresttally-proxy/src/entry/race.rs
+++ b/goldcresttally-proxy/src/entry/race.rs
@@ -57,6 +57,11 @@
         self.won.load(Ordering::Relaxed)
     }
 
+    /// Tells whether all of `count` attempts in flight are in doubt.
+    fn doubts_all(&self, count: usize) -> bool {
+        self.doubts().len() >= count
+    }
+
     /// Returns the latest doubt once all of `count` attempts in flight are in doubt.
     fn all_doubted(&self, count: usize) -> Option<Doubt> {
         let doubts = self.doubts();
@@ -75,6 +80,32 @@
     Due,
 }
 
+/// What a race has come to while it goes on.
+#[derive(Debug, Default)]
+struct Progress {
+    /// The nodes of the attempts in flight.
+    in_flight: Vec<NodeId>,
+    /// When another attempt is made.
+    next_at: Option<Instant>,
+    /// An upstream's own failure, which says more than that of a later attempt.
+    failed: Option<Response<CallBody>>,
+}
+
+impl Progress {
+    /// Lets another attempt be made shortly.
+    fn schedule(&mut self) {
+        self.next_at = Some(Instant::now() + retry_jitter());
+    }
+}
+
+/// Waits until another attempt is due.
+async fn due(next_at: Option<Instant>) {
+    match next_at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 impl Call {
     /// Makes attempts until one is answered, or none is in flight and no other may be made.
     ///
@@ -94,65 +125,74 @@
             }
         };
         let mut running = FuturesUnordered::new();
+        let mut progress = Progress::default();
         let first = self.next_attempt(tries, &[])?;
-        let mut nodes = vec![first.endpoint.node];
+        progress.in_flight.push(first.endpoint.node);
         running.push(start(first));
-        // An upstream's own failure says more than that of a later attempt.
-        let mut failed = None;
-        let mut next_at: Option<Instant> = None;
         loop {
-            let due = async {
-                match next_at {
-                    Some(at) => tokio::time::sleep_until(at).await,
-                    None => std::future::pending().await,
-                }
-            };
             let step = tokio::select! {
                 biased;
                 Some((node, result)) = running.next() => Step::Ended(node, result),
-                () = race.doubted.notified(), if next_at.is_none() => Step::Doubted,
-                () = due => Step::Due,
+                () = race.doubted.notified(), if progress.next_at.is_none() => Step::Doubted,
+                () = due(progress.next_at) => Step::Due,
             };
-            let (node, error) = match step {
+            match step {
                 Step::Ended(_, Ok(response)) if !self.has_failed(&response) => {
                     race.won.store(true, Ordering::Relaxed);
                     return Ok(response);
                 }
-                Step::Ended(node, Ok(response)) => {
-                    failed = Some(response);
-                    (node, CallError::ran(Reason::UpstreamFailed))
+                Step::Ended(node, result) => {
+                    let error = match result {
+                        Ok(response) => {
+                            progress.failed = Some(response);
+                            CallError::ran(Reason::UpstreamFailed)
+                        }
+                        Err(error) => error,
+                    };
+                    progress.in_flight.retain(|at| *at != node);
+                    self.on_failure(tries, node, &error, body, &race, &mut progress);
+                    if running.is_empty() && progress.next_at.is_none() {
+                        return progress.failed.ok_or(error);
+                    }
                 }
-                Step::Ended(node, Err(error)) => (node, error),
                 Step::Doubted => {
                     if let Some(doubt) = race.all_doubted(running.len())
-                        && self.may_hedge(tries, doubt, &nodes, body)
+                        && self.may_hedge(tries, doubt, &progress.in_flight, body)
                     {
-                        next_at = Some(Instant::now() + retry_jitter());
+                        progress.schedule();
                     }
-                    continue;
                 }
                 Step::Due => {
-                    next_at = None;
-                    match self.next_attempt(tries, &nodes) {
+                    progress.next_at = None;
+                    match self.next_attempt(tries, &progress.in_flight) {
                         Ok(attempt) => {
-                            nodes.push(attempt.endpoint.node);
+                            progress.in_flight.push(attempt.endpoint.node);
                             running.push(start(attempt));
-                            continue;
                         }
-                        Err(error) if running.is_empty() => return failed.ok_or(error),
-                        Err(_) => continue,
+                        Err(error) if running.is_empty() => return progress.failed.ok_or(error),
+                        Err(_) => {}
                     }
                 }
-            };
-            nodes.retain(|at| *at != node);
-            let replaced = next_at.is_some() || race.doubts().len() < running.len();
-            if replaced {
-                tries.on_end(failure_of(&error, body));
-            } else if self.may_retry(tries, node, &error, body) {
-                next_at = Some(Instant::now() + retry_jitter());
-            } else if running.is_empty() {
-                return failed.ok_or(error);
             }
         }
     }
+
+    /// Notes that an attempt failed, and lets another one be made unless one is due or in flight
+    /// without a doubt.
+    fn on_failure(
+        &self,
+        tries: &mut Tries,
+        node: NodeId,
+        error: &CallError,
+        body: &Replay<CallBody>,
+        race: &Race,
+        progress: &mut Progress,
+    ) {
+        let covered = progress.next_at.is_some() || !race.doubts_all(progress.in_flight.len());
+        if covered {
+            tries.on_end(failure_of(error, body));
+        } else if self.may_retry(tries, node, error, body) {
+            progress.schedule();
+        }
+    }
 }
--- a/goldcresttally-proxy/src/peer/attempts.rs
+++ b/goldcresttally-proxy/src/peer/attempts.rs
@@ -92,8 +92,12 @@
         let mut shard = self.shard(id);
         match shard.running.get(&id) {
             // The first reason stands.
-            Some(cancelled) => drop(cancelled.set(reason)),
-            None => drop(shard.ledger.settle(now, id, deadline)),
+            Some(cancelled) => {
+                let _ = cancelled.set(reason);
+            }
+            None => {
+                shard.ledger.settle(now, id, deadline);
+            }
         }
     }
 
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -176,7 +176,7 @@
             Ok(Err(_)) => return CallError::not_run(Reason::BadRequest).into_response(),
             Err(_) => return CallError::not_run(Reason::Deadline).into_response(),
         };
-        begun.goes_on();
+        begun.disarm();
         // The attempt goes on when the connection that brought it breaks: its entry node will ask
         // for the outcome on another one.
         let (tx, rx) = tokio::sync::oneshot::channel();
@@ -203,7 +203,7 @@
 
 impl Begun<'_> {
     /// Leaves the attempt's end to whoever runs it.
-    fn goes_on(self) {
+    fn disarm(self) {
         std::mem::forget(self);
     }
 }
--- a/goldcresttally-routing/src/tries.rs
+++ b/goldcresttally-routing/src/tries.rs
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Notes the failure of an attempt while another one, which is not in doubt, is in flight.
+    /// Notes the failure of an attempt while another one is due or in flight without a doubt.
     pub fn on_end(&mut self, failure: Failure) {
         self.verdict = self.verdict.max(failure.verdict);
         self.seen += usize::from(failure.seen);
--- a/tally-lab/tests/doubted_attempts.rs
+++ b/tally-lab/tests/doubted_attempts.rs
@@ -144,7 +144,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn doubt_does_not_repeat_an_unsafe_call() {
-    let bench = start(2, behaviour(), &section()).await;
+    let mut bench = start(3, behaviour(), &section()).await;
+    start_second(&mut bench, behaviour()).await;
     assert_eq!(call_over_a_pause(&bench, &spec("once", "write", WORK_MS)).await, Outcome::Answered);
     assert_eq!(bench.record.run("once"), ONCE);
     assert_eq!(bench.record.cancelled(), 0, "runs cancelled");
@@ -153,7 +154,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn reset_does_not_repeat_an_unsafe_call() {
-    let bench = start(2, behaviour(), &section()).await;
+    let mut bench = start(3, behaviour(), &section()).await;
+    start_second(&mut bench, behaviour()).await;
     assert_eq!(call_over_a_reset(&bench, &spec("once", "write", WORK_MS)).await, Outcome::Answered);
     assert_eq!(bench.record.run("once"), ONCE);
     assert_eq!(bench.record.cancelled(), 0, "runs cancelled");
