A node is asked about an idempotent call in doubt only once its link has broken

A link that is dead is found by the library within a second, and the call may be made elsewhere meanwhile; calls that must not run twice still ask at once.

--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -96,9 +96,12 @@
             silence = links.silence(peer, &carrier, check) => {
                 self.note(CallEvent::Doubted { node: attempt.endpoint.node, silence });
                 self.doubt(attempt, Reason::Silent, race);
+                // A question brings the answer a second time, over a link that may be full; an
+                // idempotent call may be made elsewhere meanwhile.
+                let asks = !self.route.idempotent;
                 tokio::select! {
                     sent = &mut sent => sent,
-                    outcome = self.outcome(attempt) => return outcome,
+                    outcome = self.outcome(attempt), if asks => return outcome,
                 }
             }
         };
