--- a/tally-lab/tests/doubted_attempts.rs
+++ b/tally-lab/tests/doubted_attempts.rs
@@ -12,6 +12,8 @@
 use tally_lab::documents;
 use tally_lab::fleet::FleetOptions;
 use tally_lab::load::{Outcome, Spec};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Time for which a link carries no answers: longer than its check and its probe take, and shorter
 /// than the HTTP/2 library takes to close it.
@@ -20,6 +22,13 @@
 /// Time that a call takes at its upstream, in milliseconds; it ends after the pause.
 const WORK_MS: f64 = 900.0;
 
+/// Time for which a link is quiet that carries an answer: below the 1.5 s after which the kernel
+/// ends a connection.
+const LONG_PAUSE: Duration = Duration::from_millis(1300);
+
+/// Bytes of an answer that no buffers on its way can hold.
+const LARGE: usize = 24 << 20;
+
 const ONCE: Run = Run { started: 1, finished: 1 };
 
 /// Starts a fleet with an upstream beside VM 1; further attempts need no budget.
@@ -161,3 +170,46 @@
     assert_eq!(bench.record.cancelled(), 0, "runs cancelled");
     bench.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn doubt_does_not_repeat_a_keyed_call() {
+    let mut bench = start(3, behaviour(), &section()).await;
+    start_second(&mut bench, behaviour()).await;
+    assert_eq!(call_over_a_pause(&bench, &spec("key", "keyed", WORK_MS)).await, Outcome::Answered);
+    assert_eq!(bench.record.run("key"), ONCE);
+    assert_eq!(bench.record.cancelled(), 0, "runs cancelled");
+    bench.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_leaving_cancels_every_attempt() {
+    let slow = Behaviour { service_ms: 60_000.0, ..behaviour() };
+    let section = documents::service("booking", 60_000, 64);
+    let mut bench = start(3, slow.clone(), &section).await;
+    start_second(&mut bench, slow).await;
+    let read = Spec { service_ms: None, ..spec("read", "read", 0.0) };
+    bench.fleet.network.hold_answers(ip(&bench, 1));
+    let call = bench.call_until_running(0, &read).await;
+    bench.until(|b| b.record.run("read").started == 2).await;
+    call.abort();
+    bench.until(|b| b.record.cancelled() == 2).await;
+    assert_eq!(bench.record.run("read").finished, 0);
+    bench.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "listed in KNOWN-RED.txt, issue 10"]
+async fn quiet_link_does_not_cut_a_streamed_answer() {
+    let large = Behaviour { answer_bytes: LARGE, ..behaviour() };
+    let bench = start(2, large, &documents::service("booking", 60_000, 64)).await;
+    let mut stream = TcpStream::connect(bench.entry(0)).await.unwrap();
+    let get = "GET /booking/urgent/read HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+    stream.write_all(get.as_bytes()).await.unwrap();
+    let mut body = vec![stream.read_u8().await.unwrap()];
+    bench.fleet.network.hold_answers(ip(&bench, 1));
+    tokio::time::sleep(LONG_PAUSE).await;
+    bench.fleet.network.release_answers(ip(&bench, 1));
+    let _ = stream.read_to_end(&mut body).await;
+    assert!(body.len() >= LARGE, "{} bytes came", body.len());
+    bench.stop().await;
+}
