Log where a version came from and since when it was known

E1201 said only that a version is in force, and nothing was written when a report of a version came: a node that had waited for a peer, one whose feed was deaf and one whose reads were cut short looked alike. The line now names the source, who reported the version (or a later one) first, and how long ago.

--- a/goldcresttally-distribution/src/lib.rs
+++ b/goldcresttally-distribution/src/lib.rs
@@ -17,6 +17,6 @@
 pub mod update;
 
 pub use bundle::Bundle;
-pub use machine::{Action, Distribution, Event, Mode, Options, Source};
+pub use machine::{Action, Distribution, Event, Mode, Options, Source, VersionReport};
 pub use topology::{Peer, Topology};
 pub use update::{ChangedSection, VersionUpdate};
--- a/goldcresttally-distribution/src/machine/fetch.rs
+++ b/goldcresttally-distribution/src/machine/fetch.rs
@@ -13,6 +13,20 @@
 /// Maximum number of peers remembered as sources of newer versions.
 const CANDIDATE_LIMIT: usize = 8;
 
+/// Maximum number of first reports remembered of versions that are not in force yet.
+const REPORT_LIMIT: usize = 32;
+
+/// The first report that a version exists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VersionReport {
+    /// The version.
+    pub version: Version,
+    /// The source of the report.
+    pub source: Source,
+    /// When it arrived.
+    pub at: MonoTime,
+}
+
 /// The known sources of newer versions and the fetch in flight.
 #[derive(Debug, Default)]
 pub(super) struct FetchState {
@@ -28,21 +42,41 @@
     not_before: Option<Deadline>,
     /// Number of failed fetches; selects the next source in turn.
     tries: usize,
+    /// The first report of each version that is not in force yet, with ascending versions.
+    reports: Vec<VersionReport>,
 }
 
 impl FetchState {
-    pub fn add_platform_source(&mut self, version: Version, manifest: Option<Digest>) {
+    pub fn add_platform_source(
+        &mut self,
+        now: MonoTime,
+        version: Version,
+        manifest: Option<Digest>,
+    ) {
         if let Some(digest) = manifest.filter(|_| version > self.platform_version()) {
             self.platform = Some((version, digest));
-            self.newest_known = self.newest_known.max(version);
+            self.record_report(now, Source::Platform, version);
+        }
+    }
+
+    /// Records that `source` has `version`.
+    pub fn record_report(&mut self, now: MonoTime, source: Source, version: Version) {
+        if version > self.newest_known && self.reports.len() < REPORT_LIMIT {
+            self.reports.push(VersionReport { version, source, at: now });
         }
+        self.newest_known = self.newest_known.max(version);
+    }
+
+    /// Returns the first report of `version` or of a later one.
+    pub fn first_report(&self, version: Version) -> Option<VersionReport> {
+        self.reports.iter().find(|report| report.version >= version).copied()
     }
 
     pub fn add_peer_source(&mut self, now: MonoTime, from: NodeId, version: Version) {
         self.candidates.retain(|(id, _)| *id != from);
         self.candidates.insert(0, (from, version));
         self.candidates.truncate(CANDIDATE_LIMIT);
-        self.newest_known = self.newest_known.max(version);
+        self.record_report(now, Source::Peer(from), version);
         self.not_before = Some(Deadline(now));
     }
 
@@ -65,6 +99,7 @@
     pub fn discard_sources(&mut self, version: Version) {
         self.candidates.retain(|(_, v)| *v > version);
         self.platform = self.platform.filter(|(v, _)| *v > version);
+        self.reports.retain(|report| report.version > version);
         if self.newest_known <= version {
             self.not_before = None;
         }
--- a/goldcresttally-distribution/src/machine/mod.rs
+++ b/goldcresttally-distribution/src/machine/mod.rs
@@ -6,6 +6,7 @@
 mod push;
 
 use std::collections::VecDeque;
+use std::fmt;
 use std::sync::Arc;
 
 use goldcresttally_config::{Digest, Manifest};
@@ -15,6 +16,7 @@
 use crate::topology::{Peer, Topology};
 use crate::update::VersionUpdate;
 use fetch::FetchState;
+pub use fetch::VersionReport;
 pub use options::{Mode, Options};
 use push::PushRetries;
 
@@ -30,6 +32,15 @@
     Peer(NodeId),
 }
 
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Platform => f.write_str("platform"),
+            Self::Peer(id) => id.fmt(f),
+        }
+    }
+}
+
 /// An input of the state machine.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -178,7 +189,7 @@
             Event::MembersChanged(others) => self.topology = Topology::new(&self.own, &others),
             Event::TableRead { version, manifest } => {
                 self.raise_floor(version);
-                self.fetch_state.add_platform_source(version, manifest);
+                self.fetch_state.add_platform_source(now, version, manifest);
                 self.repeat_long_poll(now, actions);
             }
             Event::Accepted(update) => {
@@ -217,6 +228,13 @@
         self.refused
     }
 
+    /// Returns the source of the version that is being installed, and the first report of it or
+    /// of a later one.
+    pub fn installing(&self) -> Option<(Source, Option<VersionReport>)> {
+        let (bundle, _, source) = self.installing.as_ref()?;
+        Some((*source, self.fetch_state.first_report(bundle.version())))
+    }
+
     /// Returns the bundle in force.
     pub fn bundle(&self) -> &Arc<Bundle> {
         &self.current
@@ -284,6 +302,7 @@
             }
             return;
         };
+        self.fetch_state.record_report(now, source, update.version);
         let bundle = Arc::new(bundle);
         self.installing = Some((Arc::clone(&bundle), update, source));
         actions.push(Action::Install(bundle));
--- a/goldcresttallyd/src/control/distribution.rs
+++ b/goldcresttallyd/src/control/distribution.rs
@@ -51,7 +51,7 @@
         let built = Snapshot::build_with(&*self.format, version, &bundle.sections());
         match built.map(|snapshot| self.peer.state().install(snapshot)) {
             Ok(true) => {
-                emit(events::VERSION_INSTALLED, format_args!("version {version}"));
+                self.log_installed(version);
                 self.on_distribution(Event::Installed(version));
                 // The admission gates take their limits and ranks from the snapshot.
                 self.publish_upstreams();
@@ -67,6 +67,23 @@
         self.report_version();
     }
 
+    /// Logs that a version is in force: where it came from, and how long after the first report of
+    /// it.
+    fn log_installed(&self, version: Version) {
+        let installing = self.machines.borrow().distribution.installing();
+        let Some((source, report)) = installing else {
+            return emit(events::VERSION_INSTALLED, format_args!("version {version}"));
+        };
+        let report = report.map(|r| (r.source, self.now().since(r.at).as_millis()));
+        let (first, known_ms) = report.unwrap_or((source, 0));
+        emit(
+            events::VERSION_INSTALLED,
+            format_args!(
+                "version {version} source={source} reported_by={first} known_ms={known_ms}"
+            ),
+        );
+    }
+
     fn report_version(self: &Rc<Self>) {
         let (version, refused): (Version, Version) = {
             let machines = self.machines.borrow();
