Ask the platform and the peers for a version independently

Cause: one fetch at a time, peers first. A peer that had less than it had told of (restarted since, or below the floor) was asked again and again without a pause.

Change: what the platform has is fetched as soon as it is known, whatever peers do; up to three peers are asked, the next one 400 ms after the last; a peer has to report again before it is asked again; an update that cannot be applied for another reason than its base is not asked for again at once.

--- a/goldcresttally-distribution/src/machine/fetch.rs
+++ b/goldcresttally-distribution/src/machine/fetch.rs
@@ -10,6 +10,12 @@
 /// Wait after a failed fetch, in milliseconds.
 const FETCH_RETRY_MS: u64 = 250;
 
+/// Time without an answer after which another peer is asked as well, in milliseconds.
+const PEER_HEDGE_MS: u64 = 400;
+
+/// Maximum number of fetches from peers in flight.
+const MAX_PEER_FETCHES: usize = 3;
+
 /// Maximum number of peers remembered as sources of newer versions.
 const CANDIDATE_LIMIT: usize = 8;
 
@@ -27,21 +33,28 @@
     pub at: MonoTime,
 }
 
-/// The known sources of newer versions and the fetch in flight.
+/// The known sources of newer versions and the fetches in flight.
+///
+/// The platform and the peers are asked independently: an answer that does not come from one must
+/// not delay what another has.
 #[derive(Debug, Default)]
 pub(super) struct FetchState {
     /// The newest version known to exist.
     newest_known: Version,
     /// The newest version in the table and the digest of its manifest.
     platform: Option<(Version, Digest)>,
+    /// When the fetch from the platform in flight times out.
+    platform_fetch: Option<Deadline>,
+    /// The earliest time of the next fetch from the platform.
+    platform_not_before: Option<Deadline>,
     /// Peers with a newer version than this node, latest report first.
     candidates: Vec<(NodeId, Version)>,
-    /// The source of the fetch in flight, and when it times out.
-    in_flight: Option<(Source, Deadline)>,
-    /// The earliest time of the next fetch.
+    /// The peers that are being asked, and when each fetch times out.
+    peer_fetches: Vec<(NodeId, Deadline)>,
+    /// The earliest time of the next fetch from a peer while none is in flight.
     not_before: Option<Deadline>,
-    /// Number of failed fetches; selects the next source in turn.
-    tries: usize,
+    /// The earliest time of the next fetch from a peer in addition to those in flight.
+    hedge_at: Option<Deadline>,
     /// The first report of each version that is not in force yet, with ascending versions.
     reports: Vec<VersionReport>,
 }
@@ -80,19 +93,24 @@
         self.not_before = Some(Deadline(now));
     }
 
-    pub fn clear_in_flight(&mut self, source: Source) {
-        if self.in_flight.is_some_and(|(s, _)| s == source) {
-            self.in_flight = None;
+    /// Records the end of a fetch. A peer has to report a newer version before it is asked again.
+    pub fn end_fetch(&mut self, source: Source) {
+        match source {
+            Source::Platform => self.platform_fetch = None,
+            Source::Peer(id) => {
+                self.peer_fetches.retain(|(asked, _)| *asked != id);
+                self.candidates.retain(|(candidate, _)| *candidate != id);
+            }
         }
     }
 
     pub fn record_failure(&mut self, now: MonoTime, source: Source) {
-        self.clear_in_flight(source);
-        self.tries += 1;
-        if let Source::Peer(id) = source {
-            self.candidates.retain(|(c, _)| *c != id);
+        self.end_fetch(source);
+        let retry_at = Some(Deadline::after(now, Duration::from_millis(FETCH_RETRY_MS)));
+        match source {
+            Source::Platform => self.platform_not_before = retry_at,
+            Source::Peer(_) => self.not_before = retry_at,
         }
-        self.not_before = Some(Deadline::after(now, Duration::from_millis(FETCH_RETRY_MS)));
     }
 
     /// Discards the sources of versions up to `version`, which is in force or refused.
@@ -109,15 +127,37 @@
         self.platform.map_or(Version(0), |(version, _)| version)
     }
 
-    /// Returns the source of the next fetch: peers before the platform, each tried in turn.
-    fn choose_source(&self, newer_than: Version) -> Option<(Source, Option<Digest>)> {
-        let peers = self.candidates.iter().filter(|(_, v)| *v > newer_than);
-        let mut sources: Vec<_> = peers.map(|(id, _)| (Source::Peer(*id), None)).collect();
-        if let Some((_, digest)) = self.platform.filter(|(v, _)| *v > newer_than) {
-            sources.push((Source::Platform, Some(digest)));
+    /// Gives up the fetches that have timed out.
+    fn expire(&mut self, now: MonoTime) {
+        if self.platform_fetch.is_some_and(|deadline| deadline.is_past(now)) {
+            self.record_failure(now, Source::Platform);
+        }
+        let timed_out = self.peer_fetches.iter().filter(|(_, deadline)| deadline.is_past(now));
+        for id in timed_out.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.record_failure(now, Source::Peer(id));
+        }
+    }
+
+    /// Returns the manifest to fetch from the platform now, if it has a version after `newer_than`.
+    fn next_manifest(&self, now: MonoTime, newer_than: Version) -> Option<Digest> {
+        let early = self.platform_not_before.is_some_and(|at| !at.is_past(now));
+        let (version, digest) = self.platform?;
+        (version > newer_than && !early && self.platform_fetch.is_none()).then_some(digest)
+    }
+
+    /// Returns the peer to ask now for a version after `newer_than`.
+    fn next_peer(&self, now: MonoTime, newer_than: Version) -> Option<NodeId> {
+        let next_at = match self.peer_fetches.len() {
+            0 => self.not_before,
+            MAX_PEER_FETCHES.. => return None,
+            _ => self.hedge_at,
+        };
+        if next_at.is_some_and(|at| !at.is_past(now)) {
+            return None;
         }
-        let index = self.tries.checked_rem(sources.len())?;
-        Some(sources[index])
+        let is_asked = |id: &NodeId| self.peer_fetches.iter().any(|(asked, _)| asked == id);
+        let mut peers = self.candidates.iter().filter(|(_, version)| *version > newer_than);
+        peers.find(|(id, _)| !is_asked(id)).map(|(id, _)| *id)
     }
 }
 
@@ -141,21 +181,27 @@
     }
 
     pub(super) fn fetch_if_due(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
-        if self.fetch_state.in_flight.is_some_and(|(_, deadline)| deadline.is_past(now)) {
-            self.fetch_state.in_flight = None;
-            self.fetch_state.tries += 1;
-        }
-        let busy = self.installing.is_some() || self.fetch_state.in_flight.is_some();
-        let early = self.fetch_state.not_before.is_some_and(|d| !d.is_past(now));
-        if busy || early {
+        self.fetch_state.expire(now);
+        if self.installing.is_some() {
             return;
         }
-        let newer_than = self.version().max(self.refused);
-        let Some((source, manifest)) = self.fetch_state.choose_source(newer_than) else {
-            return;
-        };
+        let known = self.version();
+        let newer_than = known.max(self.refused);
         let deadline = Deadline::after(now, self.options.fetch_timeout);
-        self.fetch_state.in_flight = Some((source, deadline));
-        actions.push(Action::Fetch { source, manifest, known: self.version() });
+        if let Some(manifest) = self.fetch_state.next_manifest(now, newer_than) {
+            self.fetch_state.platform_fetch = Some(deadline);
+            let (source, manifest) = (Source::Platform, Some(manifest));
+            actions.push(Action::Fetch { source, manifest, known });
+        }
+        // A peer is asked only for a version that the platform is not about to deliver.
+        let fetching = self.fetch_state.platform_fetch.is_some();
+        let platform_version = self.fetch_state.platform.filter(|_| fetching);
+        let newer_than = platform_version.map_or(newer_than, |(v, _)| v.max(newer_than));
+        if let Some(peer) = self.fetch_state.next_peer(now, newer_than) {
+            self.fetch_state.peer_fetches.push((peer, deadline));
+            let hedge_after = Duration::from_millis(PEER_HEDGE_MS);
+            self.fetch_state.hedge_at = Some(Deadline::after(now, hedge_after));
+            actions.push(Action::Fetch { source: Source::Peer(peer), manifest: None, known });
+        }
     }
 }
--- a/goldcresttally-distribution/src/machine/mod.rs
+++ b/goldcresttally-distribution/src/machine/mod.rs
@@ -206,7 +206,7 @@
                 self.on_update(now, Source::Peer(from), update, actions);
             }
             Event::Fetched { source, update } => {
-                self.fetch_state.clear_in_flight(source);
+                self.fetch_state.end_fetch(source);
                 self.on_update(now, source, update, actions);
             }
             Event::FetchFailed { source } => self.fetch_state.record_failure(now, source),
@@ -296,8 +296,11 @@
             Some(_) => None,
         };
         let Some(bundle) = bundle else {
-            // The update cannot be applied to the version in force: fetch one with the right base.
-            if let Source::Peer(from) = source {
+            // An update with another base cannot be applied: fetch one with the right base.
+            let other_base = update.base != self.version() && update.base != Version(0);
+            if let Source::Peer(from) = source
+                && (other_base || self.installing.is_some())
+            {
                 self.fetch_state.add_peer_source(now, from, update.version);
             }
             return;
