Notice a lost answer of the change feed within its own wait

Cause: a feed request waited at the store for 20 s, and whether the store was well was asked beside it, every 3 s, over another connection. A read of the document had 1.5 s for all of it, and a check without an answer gave up a feed whose answer was on its way: on a full link neither ended.

Change: the state machine decides. A feed request waits 1.8 s, so each answer shows that its connection works; one whose answer has not begun 0.7 s later is given up, and the next goes over a new connection at once. An answer that arrives is waited for as long as it goes on to arrive, and no peer is asked meanwhile. The checks are gone.

Tests changed: at_most_one_long_poll_in_progress expected that a poll is never given up; it now counts polls in progress over answers and polls given up.

--- a/goldcresttally-distribution/src/machine/fetch.rs
+++ b/goldcresttally-distribution/src/machine/fetch.rs
@@ -193,6 +193,10 @@
             let (source, manifest) = (Source::Platform, Some(manifest));
             actions.push(Action::Fetch { source, manifest, known });
         }
+        if self.long_poll.is_arriving(now) {
+            // A second transfer would slow the first one down.
+            return;
+        }
         // A peer is asked only for a version that the platform is not about to deliver.
         let fetching = self.fetch_state.platform_fetch.is_some();
         let platform_version = self.fetch_state.platform.filter(|_| fetching);
--- a/goldcresttally-distribution/src/machine/mod.rs
+++ b/goldcresttally-distribution/src/machine/mod.rs
@@ -18,6 +18,7 @@
 use fetch::FetchState;
 pub use fetch::VersionReport;
 pub use options::{Mode, Options};
+use poll::LongPoll;
 use push::PushRetries;
 
 /// Number of earlier manifests kept as possible bases of an update.
@@ -57,6 +58,8 @@
     },
     /// This node accepted a version from an operator; the update has base 0.
     Accepted(Arc<VersionUpdate>),
+    /// A part of the answer to the long poll in progress arrived.
+    PollProgress,
     /// A poll of the table failed.
     PollFailed,
     /// A peer reported the version floor of this node's address.
@@ -104,7 +107,13 @@
 #[derive(Debug, Clone)]
 pub enum Action {
     /// Read the newest version from the table.
-    Poll,
+    Poll {
+        /// Time until which the table may hold a long poll that has nothing to tell.
+        hold_until: Deadline,
+    },
+    /// Give up the long poll in progress, which is not answered, and use another connection for
+    /// the next one.
+    AbandonPoll,
     /// Fetch the newest version that the source has.
     Fetch {
         /// The source.
@@ -148,8 +157,7 @@
     installing: Option<(Arc<Bundle>, Arc<VersionUpdate>, Source)>,
     fetch_state: FetchState,
     next_poll: Deadline,
-    /// Whether a long poll is in progress.
-    long_poll_pending: bool,
+    long_poll: LongPoll,
     gossip_rounds: u32,
     next_gossip: Deadline,
     last_update: Option<Arc<VersionUpdate>>,
@@ -170,7 +178,7 @@
             installing: None,
             fetch_state: FetchState::default(),
             next_poll: Deadline(now),
-            long_poll_pending: false,
+            long_poll: LongPoll::default(),
             gossip_rounds: 0,
             next_gossip: Deadline(now),
             last_update: None,
@@ -196,10 +204,8 @@
                 self.raise_floor(update.version);
                 self.on_update(now, Source::Platform, update, actions);
             }
-            Event::PollFailed => {
-                self.long_poll_pending = false;
-                self.back_off_poll(now);
-            }
+            Event::PollProgress => self.on_poll_progress(now),
+            Event::PollFailed => self.back_off_poll(now),
             Event::FloorLearned(version) => self.raise_floor(version),
             Event::PeerVersion { from, version } => self.on_peer_version(now, from, version),
             Event::Pushed { from, update } => {
--- a/goldcresttally-distribution/src/machine/poll.rs
+++ b/goldcresttally-distribution/src/machine/poll.rs
@@ -1,4 +1,8 @@
-//! Decides when this node polls the configuration table.
+//! Decides when this node polls the configuration table, and when a long poll has been lost.
+//!
+//! A long poll is held for a short time only, so that each answer also shows that the connection
+//! still carries bytes. One that is not answered in time is given up and repeated over another
+//! connection.
 
 use std::time::Duration;
 
@@ -10,6 +14,59 @@
 /// regular interval is longer.
 const OUTAGE_POLL_LIMIT_S: u64 = 3;
 
+/// Time for which the table may hold a long poll, in milliseconds.
+const HOLD_MS: u64 = 1800;
+
+/// The same after a poll that failed or was lost, so that the next answer comes soon.
+const SHORT_HOLD_MS: u64 = 300;
+
+/// Time for the answer of a long poll to begin once it is no longer held, in milliseconds.
+const ANSWER_TIMEOUT_MS: u64 = 700;
+
+/// The same after a lost poll: the table may be slow, or the way to it congested.
+const LONG_ANSWER_TIMEOUT_MS: u64 = 1400;
+
+/// Time without further bytes after which an answer that has begun counts as lost, in milliseconds.
+const PROGRESS_TIMEOUT_MS: u64 = 1500;
+
+/// Time after the last bytes for which an answer counts as arriving, in milliseconds.
+const ARRIVING_MS: u64 = 500;
+
+/// The state of long polling.
+#[derive(Debug, Default)]
+pub(super) struct LongPoll {
+    /// When the poll in progress counts as lost; `None` if none is in progress.
+    answer_by: Option<Deadline>,
+    /// Until when the answer counts as arriving.
+    arriving_until: Option<Deadline>,
+    /// Number of polls that failed or were lost since the last answer.
+    failures: u32,
+}
+
+impl LongPoll {
+    fn is_pending(&self) -> bool {
+        self.answer_by.is_some()
+    }
+
+    /// Returns whether an answer is arriving.
+    pub fn is_arriving(&self, now: MonoTime) -> bool {
+        self.is_pending() && self.arriving_until.is_some_and(|until| !until.is_past(now))
+    }
+
+    /// Starts a poll; returns the time until which the table may hold it.
+    fn start(&mut self, now: MonoTime) -> Deadline {
+        let (hold_ms, timeout_ms) = match self.failures {
+            0 => (HOLD_MS, ANSWER_TIMEOUT_MS),
+            _ => (SHORT_HOLD_MS, LONG_ANSWER_TIMEOUT_MS),
+        };
+        let hold_until = Deadline::after(now, Duration::from_millis(hold_ms));
+        let timeout = Duration::from_millis(timeout_ms);
+        self.answer_by = Some(Deadline::after(hold_until.0, timeout));
+        self.arriving_until = None;
+        hold_until
+    }
+}
+
 impl Distribution {
     /// Schedules the first poll with jitter, because nodes that start at once see no other members
     /// yet and would all poll.
@@ -19,7 +76,13 @@
     }
 
     pub(super) fn poll_if_due(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
-        if !self.next_poll.is_past(now) || self.long_poll_pending {
+        if self.long_poll.answer_by.is_some_and(|answer_by| answer_by.is_past(now)) {
+            self.long_poll.answer_by = None;
+            self.long_poll.failures += 1;
+            self.next_poll = Deadline(now);
+            actions.push(Action::AbandonPoll);
+        }
+        if !self.next_poll.is_past(now) || self.long_poll.is_pending() {
             return;
         }
         let wait = self.poll_interval().mul_f64(0.9 + 0.2 * self.rng.f64());
@@ -27,15 +90,28 @@
         let polls =
             self.options.mode == Mode::Poll || self.topology.position() < self.options.pollers;
         if polls {
-            self.long_poll_pending = self.options.long_poll;
-            actions.push(Action::Poll);
+            let hold_until = match self.options.long_poll {
+                true => self.long_poll.start(now),
+                false => Deadline(now),
+            };
+            actions.push(Action::Poll { hold_until });
+        }
+    }
+
+    /// Allows more time for the answer of a long poll, which has begun or gone on to arrive.
+    pub(super) fn on_poll_progress(&mut self, now: MonoTime) {
+        if self.long_poll.is_pending() {
+            let timeout = Duration::from_millis(PROGRESS_TIMEOUT_MS);
+            self.long_poll.answer_by = Some(Deadline::after(now, timeout));
+            let arriving = Duration::from_millis(ARRIVING_MS);
+            self.long_poll.arriving_until = Some(Deadline::after(now, arriving));
         }
     }
 
     /// Repeats a long poll that has just returned.
     pub(super) fn repeat_long_poll(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
-        if self.long_poll_pending {
-            self.long_poll_pending = false;
+        if self.long_poll.is_pending() {
+            self.long_poll = LongPoll::default();
             self.next_poll = Deadline(now);
             self.poll_if_due(now, actions);
         }
@@ -43,7 +119,11 @@
 
     /// Schedules the next poll after a failed one.
     pub(super) fn back_off_poll(&mut self, now: MonoTime) {
+        self.long_poll.answer_by = None;
+        self.long_poll.failures += 1;
         let longest = match self.options.long_poll {
+            // The connection of a held poll may break while the table is well.
+            true if self.long_poll.failures == 1 => Duration::ZERO,
             // Retried soon: without a long poll new versions arrive late, and the next may succeed.
             true => self.poll_interval(),
             false => Duration::from_secs(OUTAGE_POLL_LIMIT_S).max(self.poll_interval()),
--- a/goldcresttally-distribution/tests/blocked_fetch.rs
+++ b/goldcresttally-distribution/tests/blocked_fetch.rs
@@ -135,3 +135,18 @@
     let actions = node.event(Event::Fetched { source: Source::Platform, update });
     assert!(actions.iter().any(|a| matches!(a, Action::Install(_))));
 }
+
+#[test]
+fn version_that_feed_is_delivering_is_not_fetched_from_peers_too() {
+    let mut node = Node::start();
+    // Without an answer for some time, peers are asked.
+    while !node.event(Event::Tick).iter().any(|a| matches!(a, Action::Poll { .. })) {
+        node.now = node.now + Duration::from_millis(TICK_MS);
+    }
+    node.report(3, 2);
+    for _ in 0..FETCH_LIMIT_MS / TICK_MS {
+        assert!(node.event(Event::PollProgress).is_empty());
+        assert_eq!(node.next_fetch(TICK_MS), None);
+    }
+    assert!(node.next_fetch(FETCH_LIMIT_MS).is_some());
+}
--- a/goldcresttally-distribution/tests/common/mod.rs
+++ b/goldcresttally-distribution/tests/common/mod.rs
@@ -150,7 +150,8 @@
 
     fn handle_action(&mut self, n: usize, action: Action) {
         match action {
-            Action::Poll => {
+            Action::AbandonPoll => {}
+            Action::Poll { .. } => {
                 self.reads += 1;
                 let table_read = Event::TableRead {
                     version: Version(self.newest),
--- a/goldcresttally-distribution/tests/long_poll.rs
+++ b/goldcresttally-distribution/tests/long_poll.rs
@@ -24,7 +24,7 @@
 }
 
 fn polls(actions: &[Action]) -> usize {
-    actions.iter().filter(|a| matches!(a, Action::Poll)).count()
+    actions.iter().filter(|a| matches!(a, Action::Poll { .. })).count()
 }
 
 /// Ticks for `ms` milliseconds; returns the number of requested polls.
@@ -41,10 +41,39 @@
 fn at_most_one_long_poll_in_progress() {
     let mut machine = machine(0, 2);
     let mut now = START;
-    assert_eq!(run(&mut machine, &mut now, 30_000), 1);
-    let table_read = Event::TableRead { version: Version(0), manifest: None };
-    assert_eq!(polls(&step(&mut machine, now, table_read)), 1);
-    assert_eq!(run(&mut machine, &mut now, 30_000), 0);
+    let mut in_progress = 0_usize;
+    for n in 0..1200 {
+        now = now + Duration::from_millis(50);
+        let answered = n % 100 == 99 && in_progress == 1;
+        let table_read = Event::TableRead { version: Version(0), manifest: None };
+        let actions = step(&mut machine, now, if answered { table_read } else { Event::Tick });
+        in_progress -= usize::from(answered);
+        for action in actions {
+            match action {
+                Action::Poll { hold_until } => {
+                    assert!(!hold_until.is_past(now), "the table may not hold the poll");
+                    in_progress += 1;
+                }
+                Action::AbandonPoll => in_progress -= 1,
+                _ => {}
+            }
+            assert!(in_progress <= 1, "{in_progress} polls in progress");
+        }
+    }
+    assert_eq!(in_progress, 1);
+}
+
+#[test]
+fn answer_that_keeps_arriving_is_not_abandoned() {
+    let mut machine = machine(0, 2);
+    let mut now = START;
+    run(&mut machine, &mut now, 2000);
+    for _ in 0..200 {
+        now = now + Duration::from_millis(50);
+        let mut actions = step(&mut machine, now, Event::PollProgress);
+        actions.extend(step(&mut machine, now, Event::Tick));
+        assert!(actions.is_empty(), "{actions:?}");
+    }
 }
 
 #[test]
--- a/goldcresttally-distribution/tests/poll_rate_limit.rs
+++ b/goldcresttally-distribution/tests/poll_rate_limit.rs
@@ -37,7 +37,7 @@
         let now = start + Duration::from_millis(tick * 200);
         for machine in &mut machines {
             machine.on_event(now, Event::Tick, &mut actions);
-            let polls = actions.drain(..).filter(|a| matches!(a, Action::Poll)).count();
+            let polls = actions.drain(..).filter(|a| matches!(a, Action::Poll { .. })).count();
             reads += polls;
             for _ in 0..polls {
                 let event =
--- a/goldcresttally-store/src/lib.rs
+++ b/goldcresttally-store/src/lib.rs
@@ -21,7 +21,7 @@
 pub use http_driver::HttpPlatform;
 pub use no_store::NoStore;
 pub use object::ObjectStore;
-pub use source::{DocumentSource, NodeDirectory};
+pub use source::{DocumentSource, HeadRequest, NodeDirectory, Progress};
 pub use table::{Expected, Row, TableStore, Transaction, Write};
 
 /// A boxed future, which keeps traits with asynchronous methods usable as trait objects.
--- a/goldcresttally-store/src/source.rs
+++ b/goldcresttally-store/src/source.rs
@@ -2,6 +2,8 @@
 
 use std::fmt::Debug;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
 
 use goldcresttally_config::{Digest, Manifest};
 use goldcresttally_core::{NodeId, Version};
@@ -10,13 +12,43 @@
 use crate::document::{Document, Head};
 use crate::errors::Result;
 
+/// A request for the newest accepted version.
+#[derive(Debug, Clone)]
+pub struct HeadRequest {
+    /// The version in force at the node.
+    pub known: Version,
+    /// Time until which a source with a change feed may wait for a newer version.
+    pub hold_until: Instant,
+    /// Progress of the answer.
+    pub progress: Progress,
+}
+
+/// The bytes of an answer that have arrived so far, shared with the task that waits for it.
+#[derive(Debug, Clone, Default)]
+pub struct Progress(Arc<AtomicU64>);
+
+impl Progress {
+    /// Adds received bytes.
+    pub fn add(&self, bytes: u64) {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Returns the number of bytes that have arrived.
+    pub fn bytes(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// A source of accepted versions of the configuration document.
 pub trait DocumentSource: Send + Sync + Debug {
     /// Returns the newest accepted version.
     ///
-    /// A source with a change feed waits until there is a version newer than `known`, or until a
-    /// timeout of its own.
-    fn head(&self, known: Version) -> BoxFuture<'_, Result<Head>>;
+    /// A source with a change feed waits for a version newer than the known one, at most until
+    /// `hold_until`.
+    fn head(&self, req: HeadRequest) -> BoxFuture<'_, Result<Head>>;
+
+    /// Closes open connections, so that the next request uses another one.
+    fn reconnect(&self) {}
 
     /// Reads the manifest with the given digest.
     fn manifest(&self, digest: Digest) -> BoxFuture<'_, Result<Manifest>>;
@@ -32,7 +64,7 @@
 }
 
 impl DocumentSource for Document {
-    fn head(&self, _known: Version) -> BoxFuture<'_, Result<Head>> {
+    fn head(&self, _req: HeadRequest) -> BoxFuture<'_, Result<Head>> {
         Box::pin(Self::head(self))
     }
 
--- a/goldcresttallyd/src/control/distribution.rs
+++ b/goldcresttallyd/src/control/distribution.rs
@@ -4,13 +4,24 @@
 use std::sync::Arc;
 
 use goldcresttally_config::{Digest, Snapshot};
-use goldcresttally_core::{NodeId, Version};
+use goldcresttally_core::{Deadline, NodeId, Version};
 use goldcresttally_distribution::{Action, Bundle, Event, Source, VersionUpdate};
 use goldcresttally_membership as members;
+use goldcresttally_store::{Error, HeadRequest, Progress};
+use tokio::task::AbortHandle;
 
 use super::driver::Control;
 use crate::events::{self, emit};
 
+/// A poll of the table.
+#[derive(Debug)]
+pub(super) struct PollTask {
+    task: AbortHandle,
+    progress: Progress,
+    /// The bytes of its answer that were reported to the state machine.
+    reported_bytes: u64,
+}
+
 impl Control {
     /// Passes an event to the distribution state machine and performs the resulting actions.
     pub(super) fn on_distribution(self: &Rc<Self>, event: Event) {
@@ -24,10 +35,8 @@
 
     fn perform_distribution(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Poll => {
-                let control = Rc::clone(self);
-                self.tasks.spawn_local(async move { control.poll().await });
-            }
+            Action::Poll { hold_until } => self.start_poll(hold_until),
+            Action::AbandonPoll => self.abandon_poll(),
             Action::Fetch { source, manifest, known } => {
                 let control = Rc::clone(self);
                 self.tasks.spawn_local(async move { control.fetch(source, manifest, known).await });
@@ -92,15 +101,50 @@
         self.on_membership(members::Event::VersionChanged { version, refused });
     }
 
-    async fn poll(self: Rc<Self>) {
-        let known = self.machines.borrow().distribution.version();
-        match self.source.head(known).await {
+    fn start_poll(self: &Rc<Self>, hold_until: Deadline) {
+        let progress = Progress::default();
+        let req = HeadRequest {
+            known: self.machines.borrow().distribution.version(),
+            hold_until: self.peer.state().clock.instant(hold_until).into_std(),
+            progress: progress.clone(),
+        };
+        let control = Rc::clone(self);
+        let task = self.tasks.spawn_local(async move { control.poll(req).await }).abort_handle();
+        *self.poll_task.borrow_mut() = Some(PollTask { task, progress, reported_bytes: 0 });
+    }
+
+    /// Ends the poll in progress, whose answer or connection is lost.
+    fn abandon_poll(&self) {
+        if let Some(poll) = self.poll_task.borrow_mut().take() {
+            poll.task.abort();
+            let bytes = poll.progress.bytes();
+            emit(events::POLL_FAILED, format_args!("given up without an answer: {bytes} bytes"));
+        }
+        self.source.reconnect();
+    }
+
+    /// Tells the state machine when more of the answer to the poll in progress has arrived.
+    pub(super) fn report_poll_progress(self: &Rc<Self>) {
+        let progressed = self.poll_task.borrow_mut().as_mut().is_some_and(|poll| {
+            let bytes = poll.progress.bytes();
+            std::mem::replace(&mut poll.reported_bytes, bytes) < bytes
+        });
+        if progressed {
+            self.on_distribution(Event::PollProgress);
+        }
+    }
+
+    async fn poll(self: Rc<Self>, req: HeadRequest) {
+        match self.source.head(req).await {
             Ok(head) => {
                 let (version, manifest) = (head.version, head.manifest);
                 self.on_distribution(Event::TableRead { version, manifest });
             }
             Err(e) => {
                 emit(events::POLL_FAILED, format_args!("{e}"));
+                if matches!(e, Error::AnswerLost { .. }) {
+                    self.source.reconnect();
+                }
                 self.on_distribution(Event::PollFailed);
             }
         }
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -22,6 +22,7 @@
 use super::Config;
 use super::command::{Command, ControlStatus, Traffic};
 use super::connections::Connections;
+use super::distribution::PollTask;
 use crate::events;
 use crate::settings::Settings;
 
@@ -67,6 +68,8 @@
     pub tasks: TaskTracker,
     pub stop: CancellationToken,
     pub traffic: Rc<Cell<Traffic>>,
+    /// The poll of the table in progress or made last.
+    pub poll_task: RefCell<Option<PollTask>>,
     /// Whether the membership view has changed since the endpoint table was last built from it.
     pub endpoints_stale: Cell<bool>,
     /// The earliest time to build the endpoint table again.
@@ -126,6 +129,7 @@
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
             traffic,
+            poll_task: RefCell::new(None),
             endpoints_stale: Cell::new(true),
             next_publish: Cell::new(Deadline(now)),
             next_suppression_report: Cell::new(Deadline(now)),
@@ -174,6 +178,7 @@
 
     fn on_tick(self: &Rc<Self>) {
         self.on_membership(members::Event::Tick);
+        self.report_poll_progress();
         self.on_distribution(distribution::Event::Tick);
         self.expire_leases();
         self.withdraw_unreachable();
