--- a/goldcresttallyd/src/control/connections.rs
+++ b/goldcresttallyd/src/control/connections.rs
@@ -18,22 +18,24 @@
 use goldcresttally_wire::wire_capnp::{claim_result, control};
 use goldcresttally_wire::{reader_options, record, update};
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::command::Traffic;
-use super::metered::MeteredStream;
+use super::metered::{LastReceived, MeteredStream};
 use crate::events::{self, emit};
 
 /// Time limit for establishing a connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 300;
 
-/// Time limit for the response to a request, in milliseconds.
+/// Time without received bytes after which a request counts as unanswered, in milliseconds. A long
+/// response takes longer on a slow link.
 const REQUEST_TIMEOUT_MS: u64 = 1500;
 
 /// Interval between heartbeats on an open connection, in milliseconds.
 const HEARTBEAT_INTERVAL_MS: u64 = 5000;
 
-/// Time limit for the response to a heartbeat, in milliseconds.
+/// Time without received bytes after which a heartbeat counts as unanswered, in milliseconds.
 const HEARTBEAT_TIMEOUT_MS: u64 = 1500;
 
 /// Number of successive heartbeats without a request after which a connection is closed.
@@ -67,6 +69,7 @@
     client: control::Client,
     /// Whether a request was sent since the last heartbeat.
     used: Rc<Cell<bool>>,
+    last_received: LastReceived,
     tasks: Vec<JoinHandle<()>>,
     _disconnector: Disconnector<Side>,
 }
@@ -180,8 +183,11 @@
         to: NodeId,
         promise: impl Future<Output = std::result::Result<T, capnp::Error>>,
     ) -> Result<T> {
-        let limit = Duration::from_millis(REQUEST_TIMEOUT_MS);
-        match tokio::time::timeout(limit, promise).await {
+        let response = tokio::select! {
+            response = promise => Ok(response),
+            () = self.wait_until_silent(to) => Err(()),
+        };
+        match response {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(source)) => {
                 if source.kind == capnp::ErrorKind::Disconnected {
@@ -189,7 +195,7 @@
                 }
                 Err(Error::Rpc { source })
             }
-            Err(_) => {
+            Err(()) => {
                 emit(events::CONTROL_SILENT, format_args!("to {to}"));
                 self.open.borrow_mut().remove(&to);
                 Err(Error::TimedOut)
@@ -197,6 +203,22 @@
         }
     }
 
+    /// Waits until nothing has been received on the connection to a node for the time limit, from
+    /// now on.
+    async fn wait_until_silent(&self, to: NodeId) {
+        let limit = Duration::from_millis(REQUEST_TIMEOUT_MS);
+        let mut silent_at = Instant::now() + limit;
+        loop {
+            tokio::time::sleep_until(silent_at).await;
+            let last_received = self.open.borrow().get(&to).map(|c| c.last_received.get());
+            let next = last_received.map(|at| Instant::from_std(at) + limit);
+            match next {
+                Some(next) if next > silent_at => silent_at = next,
+                _ => return,
+            }
+        }
+    }
+
     /// Returns the client of the open connection to a node, connecting first if there is none.
     async fn client(&self, to: NodeId) -> Result<control::Client> {
         if let Some(connection) = self.open.borrow().get(&to) {
@@ -208,7 +230,7 @@
         let Ok(Ok(stream)) = connect.await else {
             return Err(Error::Connect);
         };
-        let (stream, _) = MeteredStream::new(stream, Rc::clone(&self.traffic));
+        let (stream, last_received) = MeteredStream::new(stream, Rc::clone(&self.traffic));
         let (reader, writer) = tokio::io::split(stream);
         let (reader, writer) = (reader.compat(), writer.compat_write());
         let network = VatNetwork::new(reader, writer, Side::Client, reader_options());
@@ -222,24 +244,42 @@
             drop(system.await);
             open.borrow_mut().remove(&to);
         });
-        let beat = heartbeat(Rc::clone(&self.open), to, client.clone(), Rc::clone(&used));
+        let (beating, received) = (Rc::clone(&self.open), last_received.clone());
+        let beat = heartbeat(beating, to, client.clone(), Rc::clone(&used), received);
         let tasks = vec![run, tokio::task::spawn_local(beat)];
-        let connection =
-            Connection { client: client.clone(), used, tasks, _disconnector: disconnector };
+        let connection = Connection {
+            client: client.clone(),
+            used,
+            last_received,
+            tasks,
+            _disconnector: disconnector,
+        };
         self.open.borrow_mut().insert(to, connection);
         Ok(client)
     }
 }
 
-/// Sends heartbeats, and closes the connection if one is not answered or no requests are sent.
-async fn heartbeat(open: ConnectionMap, to: NodeId, client: control::Client, used: Rc<Cell<bool>>) {
+/// Sends heartbeats, and closes the connection if nothing is received after one or no requests are
+/// sent.
+async fn heartbeat(
+    open: ConnectionMap,
+    to: NodeId,
+    client: control::Client,
+    used: Rc<Cell<bool>>,
+    last_received: LastReceived,
+) {
     let mut idle = 0;
     loop {
         tokio::time::sleep(Duration::from_millis(HEARTBEAT_INTERVAL_MS)).await;
         idle = if used.replace(false) { 0 } else { idle + 1 };
         let limit = Duration::from_millis(HEARTBEAT_TIMEOUT_MS);
+        let sent_at = std::time::Instant::now();
         let answered = tokio::time::timeout(limit, client.ping_request().send().promise).await;
-        let alive = matches!(answered, Ok(Ok(_)));
+        // The answer may be behind a long response.
+        let alive = match answered {
+            Ok(answer) => answer.is_ok(),
+            Err(_) => last_received.get() > sent_at,
+        };
         if !alive {
             emit(events::CONTROL_SILENT, format_args!("to {to}: no answer to a heartbeat"));
         }
