Hold the calls to an upstream to the limit that it names

Retries do not explain it (73 E2003 in 30 s, all nodes), nor does the restart, which comes 4 s later.

Change: the node beside the upstream is its only way in, so it alone counts: a token bucket of 250 ms of the limit paces what it sends, what would be late by it is refused on arrival, and the load that it reports makes other nodes place calls elsewhere. A limit ends with an answer without one, but not with the answer to a call from before it was known. The nodes that passed an answer on keep what it said for 60 s and send it with each attempt, so that a node that has restarted holds to it before it has seen an answer. A process of an upstream is told from the next one under the same name by its generation.

--- a/goldcresttally-admission/src/admission.rs
+++ b/goldcresttally-admission/src/admission.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use goldcresttally_core::{Deadline, Map, MonoTime};
+use goldcresttally_core::{Deadline, Map, MonoTime, Rate};
 
 use crate::event::{Action, CallId, Event, Load, Options, Policy, Refusal};
 use crate::limit::{AdaptiveLimit, Outcome};
 use crate::queue::{QueuedCall, RankedQueue};
+use crate::rate_limit::Pacer;
 use crate::service_times::{CallClass, ServiceTimes};
 
 /// One slot in this many, rounded, is kept free for more urgent calls that are expected.
@@ -37,6 +38,8 @@
     /// The classes of the waiting calls.
     classes: Map<CallId, CallClass>,
     service_times: ServiceTimes,
+    /// Paces the calls while the upstream limits their rate.
+    pacer: Option<Pacer>,
     draining: bool,
 }
 
@@ -60,6 +63,7 @@
             running: Map::default(),
             classes: Map::default(),
             service_times: ServiceTimes::default(),
+            pacer: None,
             draining: false,
             options,
         }
@@ -67,6 +71,9 @@
 
     /// Processes one event and appends the resulting actions to `actions`.
     pub fn on_event(&mut self, now: MonoTime, event: Event, actions: &mut Vec<Action>) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.refill(now);
+        }
         match event {
             Event::Offer { call, rank, deadline, on_time_by, target } => {
                 let is_late = on_time_by.is_past(now);
@@ -102,6 +109,7 @@
                 }
             }
             Event::Configure(options) => self.configure(options),
+            Event::LimitRate(rate) => self.limit_rate(now, rate),
             Event::Drain => {
                 let first = actions.len();
                 self.on_drain(actions);
@@ -136,11 +144,29 @@
         self.running.len() + self.queue.waiting_up_to(rank)
     }
 
+    /// Returns the number of calls that the rate limit allows now and the mean time between calls
+    /// under it; `None` without a rate limit.
+    pub fn pacing(&self) -> Option<(usize, Duration)> {
+        self.pacer.map(|pacer| (pacer.allowed_calls(), pacer.interval()))
+    }
+
+    /// Returns the number of waiting calls of `rank` and of more urgent ranks.
+    pub fn waiting_up_to(&self, rank: usize) -> usize {
+        self.queue.waiting_up_to(rank)
+    }
+
     /// Returns whether the upstream takes no new calls.
     pub fn is_draining(&self) -> bool {
         self.draining
     }
 
+    fn limit_rate(&mut self, now: MonoTime, rate: Option<Rate>) {
+        match (&mut self.pacer, rate) {
+            (Some(pacer), Some(rate)) => pacer.set_rate(now, rate),
+            (_, rate) => self.pacer = rate.map(|rate| Pacer::new(now, rate)),
+        }
+    }
+
     fn configure(&mut self, options: Options) {
         self.limit.set_adaptive(options.adaptive);
         self.limit.set_ceiling(options.max_concurrency);
@@ -181,8 +207,15 @@
         self.queue.push(lane, offered);
     }
 
-    /// Returns how long a call of `rank` is expected to wait for the calls ahead of it.
+    /// Returns how long a call of `rank` is expected to wait for the calls ahead of it: until there
+    /// is a slot for it, and until the rate limit allows it.
     fn expected_wait(&self, rank: usize, on_time_start: Deadline) -> Duration {
+        let paced =
+            self.pacer.map(|pacer| pacer.wait_behind(self.queue.calls_ahead(rank, on_time_start)));
+        self.expected_wait_for_slot(rank, on_time_start).max(paced.unwrap_or_default())
+    }
+
+    fn expected_wait_for_slot(&self, rank: usize, on_time_start: Deadline) -> Duration {
         let limit = self.limit.get();
         if self.running.len() < limit {
             return Duration::ZERO;
@@ -239,10 +272,13 @@
     }
 
     fn dispatch(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
-        while self.has_slot() {
+        while self.has_slot() && self.pacer.is_none_or(|pacer| pacer.allows_call()) {
             let free = self.limit.get().saturating_sub(self.running.len());
             let Some(next) = self.queue.pop(now, free, self.headroom()) else { return };
             let Some(class) = self.classes.remove(&next.call) else { continue };
+            if let Some(pacer) = &mut self.pacer {
+                pacer.take();
+            }
             self.running.insert(next.call, Running { started_at: now, class });
             actions.push(Action::Dispatch(next.call));
         }
--- a/goldcresttally-admission/src/event.rs
+++ b/goldcresttally-admission/src/event.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use goldcresttally_core::{Deadline, text_enum};
+use goldcresttally_core::{Deadline, Rate, text_enum};
 
 use crate::limit::Outcome;
 
@@ -113,6 +113,8 @@
     },
     /// The limits changed.
     Configure(Options),
+    /// The upstream takes at most this many calls per second from now on; `None` ends the limit.
+    LimitRate(Option<Rate>),
     /// The upstream takes no new calls from now on.
     Drain,
     /// The upstream takes new calls again.
--- a/goldcresttally-admission/src/queue.rs
+++ b/goldcresttally-admission/src/queue.rs
@@ -71,10 +71,20 @@
     /// Returns the total expected service time of the calls that would be dispatched before a call
     /// of `rank` with this `on_time_start`.
     pub fn work_ahead(&self, rank: usize, on_time_start: Deadline) -> Duration {
+        self.ahead(rank, on_time_start).map(|w| w.service_time).sum()
+    }
+
+    /// Returns the number of calls that would be dispatched before a call of `rank` with this
+    /// `on_time_start`.
+    pub fn calls_ahead(&self, rank: usize, on_time_start: Deadline) -> usize {
+        self.ahead(rank, on_time_start).count()
+    }
+
+    fn ahead(&self, rank: usize, on_time_start: Deadline) -> impl Iterator<Item = &QueuedCall> {
         let more_urgent = self.lanes.iter().take(rank).flat_map(|l| &l.waiting);
         let own = self.lanes.get(rank).into_iter().flat_map(|l| &l.waiting);
-        let earlier = own.take_while(|w| w.on_time_start <= on_time_start);
-        more_urgent.chain(earlier).map(|w| w.service_time).sum()
+        let earlier = own.take_while(move |w| w.on_time_start <= on_time_start);
+        more_urgent.chain(earlier)
     }
 
     /// Returns the number of waiting calls of `rank` and of more urgent ranks.
--- a/goldcresttally-proxy/src/call_log.rs
+++ b/goldcresttally-proxy/src/call_log.rs
@@ -3,7 +3,7 @@
 use std::fmt::{self, Debug};
 use std::time::Duration;
 
-use goldcresttally_core::{NodeId, ServiceName, Verdict, Version};
+use goldcresttally_core::{NodeId, Rate, ServiceName, Verdict, Version};
 use http::StatusCode;
 
 use crate::errors::Reason;
@@ -75,6 +75,13 @@
         /// How long its link has been silent.
         silence: Silence,
     },
+    /// At the upstream's node: the upstream has named another rate limit, or ended it.
+    UpstreamLimited {
+        /// The limit; `None` if there is none any more.
+        rate: Option<Rate>,
+    },
+    /// At the upstream's node: the upstream has said in a response that it is leaving.
+    UpstreamLeaving,
     /// At the upstream's node: an attempt was refused, or ended without a response to forward.
     AttemptEnded {
         /// Whether it may have run.
@@ -104,6 +111,9 @@
                 let (quiet, probe) = (quiet.as_millis(), probe.as_millis());
                 write!(f, "node={node} quiet_ms={quiet} probe_ms={probe}")
             }
+            Self::UpstreamLimited { rate: Some(rate) } => write!(f, "limit={rate}"),
+            Self::UpstreamLimited { rate: None } => f.write_str("limit=-"),
+            Self::UpstreamLeaving => f.write_str("leaving=true"),
             Self::AttemptEnded { verdict, reason, load: (running, waiting) } => {
                 write!(f, "verdict={verdict} reason={reason} running={running} waiting={waiting}")
             }
--- a/goldcresttally-proxy/src/conventions.rs
+++ b/goldcresttally-proxy/src/conventions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use goldcresttally_core::ServiceName;
+use goldcresttally_core::{Rate, ServiceName};
 use http::{HeaderMap, HeaderName};
 
 use crate::headers;
@@ -21,6 +21,10 @@
     pub target_instance: Option<HeaderName>,
     /// Set on the response to a health check: the process that responds.
     pub health_instance: Option<HeaderName>,
+    /// Set by an upstream on a response: the calls per second that it takes from all nodes together.
+    pub rate_limit: Option<HeaderName>,
+    /// Set by an upstream on a response to indicate that it is leaving and takes no new calls.
+    pub leaving: Option<HeaderName>,
     /// Tells the upstream which service runs beside the node at which the call entered.
     pub caller_service: Option<HeaderName>,
     /// Must be set on successful responses; one without it does not come from the upstream.
@@ -41,6 +45,17 @@
         id.and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
+    /// Returns the rate limit that an upstream's response names, if it can be read.
+    pub(crate) fn named_rate(&self, map: &HeaderMap) -> Option<Rate> {
+        headers::parse(map, self.rate_limit.as_ref()?)
+    }
+
+    /// Returns whether an upstream's response says that it is leaving.
+    pub(crate) fn names_leaving(&self, map: &HeaderMap) -> bool {
+        let value = self.leaving.as_ref().and_then(|name| map.get(name));
+        value.is_some_and(|value| value.as_bytes() != b"0")
+    }
+
     /// Returns the value of `Retry-After` in seconds, rounded up unless fractions are allowed.
     pub(crate) fn retry_after(&self, after: Duration) -> String {
         match self.fractional_retry_after {
@@ -72,6 +87,8 @@
             call_id: None,
             target_instance: None,
             health_instance: None,
+            rate_limit: None,
+            leaving: None,
             caller_service: None,
             signature: None,
             close_delimited: false,
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -200,6 +200,10 @@
         if keyed {
             headers::set(map, headers::KEYED, "true");
         }
+        let state = &self.entry.state;
+        if let Some(notice) = state.notices.get(state.clock.now(), attempt.endpoint.node) {
+            headers::set(map, headers::UPSTREAM_NOTICE, &notice);
+        }
         self.entry.set_attempt_headers(map, attempt, self.deadline);
         req
     }
--- a/goldcresttally-proxy/src/entry/feedback.rs
+++ b/goldcresttally-proxy/src/entry/feedback.rs
@@ -28,11 +28,15 @@
         Self { endpoint, rank, target }
     }
 
-    /// Records the load that the peer reported in its response headers.
+    /// Records the load that the peer reported in its response headers, and what its upstream has
+    /// said about itself.
     pub fn report(&self, state: &NodeState, map: &HeaderMap) {
         if let Some(load) = headers::parse(map, &headers::LOAD) {
             self.endpoint.stats.record_load(state.clock.now(), self.rank, self.target, load);
         }
+        if let Some(notice) = headers::parse(map, &headers::UPSTREAM_NOTICE) {
+            state.notices.record(state.clock.now(), self.endpoint.node, notice);
+        }
     }
 }
 
--- a/goldcresttally-proxy/src/headers.rs
+++ b/goldcresttally-proxy/src/headers.rs
@@ -30,6 +30,9 @@
 pub const REASON: HeaderName = HeaderName::from_static("tally-reason");
 /// Load of the upstream that responds, as a `LoadReport`.
 pub const LOAD: HeaderName = HeaderName::from_static("tally-load");
+/// What the upstream beside the node has said about itself, as an `UpstreamNotice`: from the node
+/// with a response, and to the node with an attempt.
+pub const UPSTREAM_NOTICE: HeaderName = HeaderName::from_static("tally-upstream-notice");
 /// A less loaded node that could run the call instead.
 pub const REDIRECT: HeaderName = HeaderName::from_static("tally-redirect");
 /// Time after which a refused call may be retried, in milliseconds.
--- a/goldcresttally-proxy/src/peer/attempt_info.rs
+++ b/goldcresttally-proxy/src/peer/attempt_info.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use goldcresttally_core::{AttemptId, Deadline, Generation, RankName, ServiceName};
+use goldcresttally_routing::UpstreamNotice;
 use http::HeaderMap;
 
 use crate::errors::{CallError, Reason};
@@ -22,6 +23,8 @@
     pub on_time_by: Deadline,
     /// Latency target of the route.
     pub target: Duration,
+    /// What the upstream has told the entry node about itself.
+    pub notice: Option<UpstreamNotice>,
     /// Whether the call has an idempotency key, so that its outcome is retained for longer.
     pub keyed: bool,
 }
@@ -65,6 +68,7 @@
             deadline: Deadline::after(state.clock.now(), left),
             on_time_by: Deadline::after(state.clock.now(), on_time.unwrap_or(left)),
             target: target.or_else(|| known.map(|i| ranks[i].target)).unwrap_or(left),
+            notice: headers::parse(headers, &headers::UPSTREAM_NOTICE),
             keyed: headers.contains_key(headers::KEYED),
         })
     }
--- a/goldcresttally-proxy/src/peer/limiter.rs
+++ b/goldcresttally-proxy/src/peer/limiter.rs
@@ -5,15 +5,18 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use goldcresttally_admission::{
-    Action, Admission, CallClass, CallId, Event, Load, Options, Outcome, Policy, Refusal,
+    Action, Admission, CallClass, CallId, Event, Load, NamedLimit, Options, Outcome, Policy,
+    Refusal,
 };
-use goldcresttally_core::{InstanceId, Map};
-use goldcresttally_routing::LoadReport;
+use goldcresttally_core::{Generation, InstanceId, Map, MonoTime};
+use goldcresttally_routing::{LoadReport, UpstreamNotice};
+use http::HeaderMap;
 use tokio::sync::oneshot;
 
 use super::LocalUpstream;
 use super::attempt_info::AttemptInfo;
 use super::upstream::UpstreamPool;
+use crate::call_log::CallEvent;
 use crate::clock::Clock;
 use crate::errors::{CallError, Reason};
 use crate::state::NodeState;
@@ -29,6 +32,9 @@
     waiting: Map<CallId, oneshot::Sender<Decision>>,
     last_call: u64,
     actions: Vec<Action>,
+    named_limit: NamedLimit,
+    /// Whether the upstream has said that it is leaving.
+    leaving: bool,
 }
 
 /// Limits the concurrent calls to one local upstream, and owns its connection pool.
@@ -37,6 +43,7 @@
     inner: Mutex<Inner>,
     pool: UpstreamPool,
     instance: Option<InstanceId>,
+    generation: Generation,
     /// Consecutive calls that failed to connect.
     unreachable: AtomicU32,
 }
@@ -79,18 +86,23 @@
             waiting: Map::default(),
             last_call: 0,
             actions: Vec::new(),
+            named_limit: NamedLimit::default(),
+            leaving: false,
         };
         Self {
             inner: Mutex::new(inner),
             pool: UpstreamPool::new(upstream.address, clock),
             instance: upstream.instance.clone(),
+            generation: upstream.generation,
             unreachable: AtomicU32::new(0),
         }
     }
 
     /// Returns whether this limiter belongs to the same address and process as `upstream`.
     pub fn is_same_process(&self, upstream: &LocalUpstream) -> bool {
-        self.address() == upstream.address && self.instance == upstream.instance
+        self.address() == upstream.address
+            && self.instance == upstream.instance
+            && self.generation == upstream.generation
     }
 
     /// Returns the upstream's process, if upstreams report one.
@@ -119,14 +131,73 @@
         let inner = self.lock();
         let (turn, work) = inner.admission.mean_service_times(class);
         let limit = inner.admission.load().limit;
+        let mut free = limit as i32 - inner.admission.competitors(class.rank) as i32;
+        let mut turn = turn;
+        if let Some((allowed, interval)) = inner.admission.pacing() {
+            let waiting = inner.admission.waiting_up_to(class.rank);
+            free = free.min(allowed as i32 - waiting as i32);
+            turn = turn.max(interval * limit as u32);
+        }
         LoadReport {
-            free: limit as i32 - inner.admission.competitors(class.rank) as i32,
+            free,
             limit: limit as u32,
             turn_ms: turn.as_millis() as u32,
             work_ms: work.as_millis() as u32,
         }
     }
 
+    /// Records what the upstream says about itself in its answer to a call that was sent at
+    /// `sent_at`; returns the news in it.
+    pub(super) fn record_answer(
+        &self,
+        state: &NodeState,
+        map: &HeaderMap,
+        sent_at: MonoTime,
+    ) -> Vec<CallEvent> {
+        let mut news = Vec::new();
+        let mut inner = self.lock();
+        let rate = state.conventions.named_rate(map);
+        if inner.named_limit.on_answer(state.clock.now(), sent_at, rate) {
+            inner.apply(state, Event::LimitRate(rate), None);
+            news.push(CallEvent::UpstreamLimited { rate });
+        }
+        if state.conventions.names_leaving(map) && inner.set_leaving(state) {
+            news.push(CallEvent::UpstreamLeaving);
+        }
+        news
+    }
+
+    /// Takes over what the upstream's process has said to another node, unless it has answered this
+    /// node since.
+    pub(super) fn adopt(&self, state: &NodeState, notice: &UpstreamNotice) {
+        if self.instance.as_ref() != Some(&notice.instance) || self.generation != notice.generation
+        {
+            return;
+        }
+        let mut inner = self.lock();
+        if let Some(rate) = notice.rate
+            && inner.named_limit.on_report(state.clock.now(), rate)
+        {
+            inner.apply(state, Event::LimitRate(Some(rate)), None);
+        }
+        if notice.leaving {
+            inner.set_leaving(state);
+        }
+    }
+
+    /// Returns what the upstream's process has said about itself, if anything.
+    pub(super) fn notice(&self) -> Option<UpstreamNotice> {
+        let inner = self.lock();
+        let (rate, leaving) = (inner.named_limit.rate(), inner.leaving);
+        let instance = self.instance.clone().filter(|_| rate.is_some() || leaving)?;
+        Some(UpstreamNotice { instance, generation: self.generation, rate, leaving })
+    }
+
+    /// Returns whether the upstream has said that it is leaving.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.lock().leaving
+    }
+
     /// Records whether a call could be sent to the upstream.
     pub(super) fn record_send(&self, sent: bool) {
         if sent {
@@ -163,7 +234,8 @@
             floor_shares,
         };
         self.apply(state, Event::Configure(options));
-        self.apply(state, if upstream.draining { Event::Drain } else { Event::Open });
+        let draining = upstream.draining || self.is_leaving();
+        self.apply(state, if draining { Event::Drain } else { Event::Open });
     }
 
     pub(super) fn drain(&self, state: &NodeState) {
@@ -228,6 +300,15 @@
 }
 
 impl Inner {
+    /// Takes no new calls from now on; returns whether that is new.
+    fn set_leaving(&mut self, state: &NodeState) -> bool {
+        if std::mem::replace(&mut self.leaving, true) {
+            return false;
+        }
+        self.apply(state, Event::Drain, None);
+        true
+    }
+
     /// Applies an event to the admission state machine and delivers its decisions to the waiting
     /// calls; returns the decision about `own_call`.
     fn apply(
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -16,7 +16,7 @@
 
 use arc_swap::ArcSwap;
 use goldcresttally_admission::{Load, Policy};
-use goldcresttally_core::{AttemptId, InstanceId, Map, ServiceName};
+use goldcresttally_core::{AttemptId, Generation, InstanceId, Map, ServiceName};
 use http::{Request, Response};
 use tokio_util::task::TaskTracker;
 
@@ -44,6 +44,8 @@
     pub draining: bool,
     /// The process that runs it, if upstreams report one.
     pub instance: Option<InstanceId>,
+    /// The generation of the process; 0 if upstreams report none.
+    pub generation: Generation,
 }
 
 /// The limiters of each service's local upstreams.
@@ -131,13 +133,21 @@
 
     /// Returns the upstreams that refuse connections, so that their leases can be ended early.
     pub fn unreachable_upstreams(&self) -> Vec<(ServiceName, SocketAddr)> {
+        self.select_upstreams(Limiter::is_unreachable)
+    }
+
+    /// Returns the upstreams that have said in a response that they are leaving.
+    pub fn leaving_upstreams(&self) -> Vec<(ServiceName, SocketAddr)> {
+        self.select_upstreams(Limiter::is_leaving)
+    }
+
+    fn select_upstreams(&self, matches: fn(&Limiter) -> bool) -> Vec<(ServiceName, SocketAddr)> {
         let limiters = self.limiters.load();
-        let unreachable = |(service, list): (&ServiceName, &Vec<Arc<Limiter>>)| {
-            let service = service.clone();
-            let unreachable = list.iter().filter(|l| l.is_unreachable());
-            unreachable.map(|l| (service.clone(), l.address())).collect::<Vec<_>>()
+        let select = |(service, list): (&ServiceName, &Vec<Arc<Limiter>>)| {
+            let selected = list.iter().filter(|l| matches(l));
+            selected.map(|l| (service.clone(), l.address())).collect::<Vec<_>>()
         };
-        limiters.iter().flat_map(unreachable).collect()
+        limiters.iter().flat_map(select).collect()
     }
 
     /// Returns the number of attempts in the ledger and the bytes of stored answers.
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use goldcresttally_admission::{CallClass, Outcome};
-use goldcresttally_core::{MonoTime, NodeId, Verdict};
+use goldcresttally_core::{MonoTime, NodeId, ServiceName, Verdict};
 use goldcresttally_ledger::Answer;
-use goldcresttally_routing::{LoadReport, PickRequest, Picker};
+use goldcresttally_routing::{LoadReport, PickRequest, Picker, UpstreamNotice};
 use http::request::Parts;
 use http::{Method, Response};
 use http_body_util::{BodyExt, StreamBody};
@@ -57,6 +57,9 @@
         let Some(limiter) = peer.choose_limiter(&self.info) else {
             return self.refuse(CallError::not_run(Reason::NoEndpoint));
         };
+        if let Some(notice) = &self.info.notice {
+            limiter.adopt(&peer.state, notice);
+        }
         let acquired = tokio::select! {
             acquired = limiter.acquire(&peer.state, &self.info) => acquired,
             reason = self.cancelled.wait() => Err(CallError::not_run(*reason)),
@@ -97,6 +100,7 @@
         let deadline = self.info.deadline;
         let req = upstream_request(parts, body.body(), deadline, &peer, limiter.instance());
         let limit = peer.state.clock.instant(self.info.deadline);
+        let sent_at = peer.state.clock.now();
         let sent = tokio::select! {
             sent = limiter.pool().send(&*peer.transport, &peer.tasks, req) => sent,
             () = tokio::time::sleep_until(limit) => {
@@ -114,23 +118,45 @@
         match sent {
             Err(UpstreamError::NotSent) => self.refuse(CallError::not_run(Reason::Unreachable)),
             Err(UpstreamError::Lost) => self.abandon(Reason::ConnectionLost),
-            Ok((response, connection)) => match sent_request.classify(&response, conventions) {
-                ResponseKind::Shed => {
-                    permit.set_outcome(Outcome::Shed);
-                    self.refuse(CallError::not_run(Reason::Shed));
-                }
-                ResponseKind::WrongInstance => {
-                    self.refuse(CallError::not_run(Reason::StaleInstance));
-                }
-                // The call's own response may follow, but the connection cannot be trusted.
-                ResponseKind::Mismatched => self.abandon(Reason::ConnectionLost),
-                ResponseKind::Malformed => self.fail_bad_response(),
-                ResponseKind::Valid => {
-                    return self
-                        .forward_response(permit, sent_request.method(), response, connection)
-                        .await;
+            Ok((response, connection)) => {
+                let kind = sent_request.classify(&response, conventions);
+                if matches!(kind, ResponseKind::Valid | ResponseKind::Shed) {
+                    for news in limiter.record_answer(&peer.state, response.headers(), sent_at) {
+                        self.log(news);
+                    }
                 }
-            },
+                return self
+                    .handle_response(permit, sent_request, kind, response, connection)
+                    .await;
+            }
+        }
+        None
+    }
+
+    async fn handle_response(
+        &mut self,
+        permit: &mut Permit<'_>,
+        sent_request: SentRequest,
+        kind: ResponseKind,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> Option<Connection> {
+        match kind {
+            ResponseKind::Shed => {
+                permit.set_outcome(Outcome::Shed);
+                self.refuse(CallError::not_run(Reason::Shed));
+            }
+            ResponseKind::WrongInstance => {
+                self.refuse(CallError::not_run(Reason::StaleInstance));
+            }
+            // The call's own response may follow, but the connection cannot be trusted.
+            ResponseKind::Mismatched => self.abandon(Reason::ConnectionLost),
+            ResponseKind::Malformed => self.fail_bad_response(),
+            ResponseKind::Valid => {
+                return self
+                    .forward_response(permit, sent_request.method(), response, connection)
+                    .await;
+            }
         }
         None
     }
@@ -220,6 +246,13 @@
 
     /// Logs that the attempt ended without a response to forward.
     fn log_end(&self, verdict: Verdict, reason: Reason) {
+        let load = self.peer.loads().iter().fold((0, 0), |(running, waiting), (_, _, load)| {
+            (running + load.running, waiting + load.waiting)
+        });
+        self.log(CallEvent::AttemptEnded { verdict, reason, load });
+    }
+
+    fn log(&self, event: CallEvent) {
         let state = &self.peer.state;
         let call = CallInfo {
             id: &self.call_id,
@@ -229,10 +262,7 @@
             age: state.clock.now().since(self.started),
             remaining: self.info.deadline.remaining(state.clock.now()),
         };
-        let load = self.peer.loads().iter().fold((0, 0), |(running, waiting), (_, _, load)| {
-            (running + load.running, waiting + load.waiting)
-        });
-        state.call_log.record(&call, CallEvent::AttemptEnded { verdict, reason, load });
+        state.call_log.record(&call, event);
     }
 
     fn refuse(&mut self, mut error: CallError) {
@@ -244,6 +274,9 @@
         let mut response = error.into_response();
         let load = self.peer.load_of(&self.info);
         headers::set(response.headers_mut(), headers::LOAD, &load);
+        if let Some(notice) = self.peer.notice_of(&self.info.service) {
+            headers::set(response.headers_mut(), headers::UPSTREAM_NOTICE, &notice);
+        }
         self.send(response);
     }
 
@@ -325,6 +358,11 @@
         sum
     }
 
+    /// Returns what an upstream of the service beside this node has said about itself, if anything.
+    pub(super) fn notice_of(&self, service: &ServiceName) -> Option<UpstreamNotice> {
+        self.limiters.load().get(service)?.iter().find_map(|limiter| limiter.notice())
+    }
+
     /// Returns a less loaded node that runs the service, by the loads that this node has observed.
     ///
     /// Similar to REDIRECT in RFC 5685, section 3, where a gateway that refuses names another one.
--- a/goldcresttally-proxy/src/peer/upstream_messages.rs
+++ b/goldcresttally-proxy/src/peer/upstream_messages.rs
@@ -131,4 +131,7 @@
     headers::strip_internal(headers);
     headers::strip_hop_by_hop(headers);
     headers::set(headers, headers::LOAD, &peer.load_of(info));
+    if let Some(notice) = peer.notice_of(&info.service) {
+        headers::set(headers, headers::UPSTREAM_NOTICE, &notice);
+    }
 }
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -10,7 +10,8 @@
 use goldcresttally_config::Snapshot;
 use goldcresttally_core::{AttemptId, Deadline, Generation, Map, MonoTime, NodeId, ServiceName};
 use goldcresttally_routing::{
-    BudgetOptions, CallerTimeouts, ClassTable, Endpoint, RetryAllowance, RetryBudget, Throttles,
+    BudgetOptions, CallerTimeouts, ClassTable, Endpoint, Notices, RetryAllowance, RetryBudget,
+    Throttles,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -113,6 +114,8 @@
     calls_in_flight: AtomicUsize,
     sequence: AtomicU64,
     superseded_by: AtomicU64,
+    /// What the upstreams beside other nodes have said about themselves.
+    pub notices: Notices,
 }
 
 impl NodeState {
@@ -141,6 +144,7 @@
             calls_in_flight: AtomicUsize::new(0),
             sequence: AtomicU64::new(0),
             superseded_by: AtomicU64::new(0),
+            notices: Notices::default(),
         }
     }
 
--- a/goldcresttally-proxy/tests/common/mod.rs
+++ b/goldcresttally-proxy/tests/common/mod.rs
@@ -53,6 +53,7 @@
             slots: 4,
             draining: false,
             instance: None,
+            generation: Generation(0),
         }]);
         Self { peer: Arc::new(peer), clock_offset_us, upstream }
     }
--- a/goldcresttally-routing/src/lib.rs
+++ b/goldcresttally-routing/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`attempts`]: the attempts of one call, and whether a failed call is retried.
 //! * [`caller_timeouts`]: detection of callers that retry, by their remaining timeout.
 //! * [`link_probe`]: when the link of an unanswered attempt is probed.
+//! * [`notice`]: what upstreams have said about themselves in their answers.
 //! * [`throttle`]: client-side throttling of calls that upstreams would refuse.
 
 pub mod attempts;
@@ -19,6 +20,7 @@
 pub mod endpoint;
 pub mod link_probe;
 pub mod load;
+pub mod notice;
 pub mod picker;
 pub mod throttle;
 
@@ -29,5 +31,6 @@
 pub use ejection::Ejection;
 pub use endpoint::{Endpoint, EndpointStats, Locality};
 pub use load::LoadReport;
+pub use notice::{Notices, UpstreamNotice};
 pub use picker::{PickRequest, Picker};
 pub use throttle::{Throttle, Throttles};
--- a/goldcresttallyd/src/control/publish.rs
+++ b/goldcresttallyd/src/control/publish.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use goldcresttally_core::{Map, Set};
+use goldcresttally_core::{Generation, Map, Set};
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership::{Event, Record, UpstreamState};
 use goldcresttally_proxy::peer::LocalUpstream;
@@ -90,6 +90,7 @@
                     address: a.address,
                     slots: a.slots,
                     draining: a.state == UpstreamState::Draining,
+                    generation: a.process.as_ref().map_or(Generation(0), |p| p.generation),
                     instance: a.process.map(|p| p.instance),
                 })
                 .collect();
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -72,6 +72,8 @@
     CALL_RETRIED = 2003 Info "attempt failed or in doubt: another one is made";
     ATTEMPT_ENDED = 2004 Info "attempt ended beside its upstream without an answer";
     ATTEMPT_SUSPECTED = 2005 Info "attempt in doubt: its node does not answer a probe";
+    UPSTREAM_LIMITED = 2006 Info "upstream named another rate limit";
+    UPSTREAM_LEAVING = 2007 Info "upstream says that it is leaving";
 }
 
 /// Maximum number of lines of one kind per window; further ones are suppressed and counted.
@@ -188,6 +190,8 @@
             CallEvent::Retried { .. } => CALL_RETRIED,
             CallEvent::AttemptEnded { .. } => ATTEMPT_ENDED,
             CallEvent::Suspected { .. } => ATTEMPT_SUSPECTED,
+            CallEvent::UpstreamLimited { .. } => UPSTREAM_LIMITED,
+            CallEvent::UpstreamLeaving => UPSTREAM_LEAVING,
         };
         emit(kind, format_args!("{call} {event}"));
     }
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -80,6 +80,8 @@
             caller_service: name(&c.caller_service_header),
             signature: name(&c.signature_header),
             health_instance: name(&c.health_instance_header),
+            rate_limit: name(&c.rate_limit_header),
+            leaving: name(&c.leaving_header),
             close_delimited: c.close_delimited_answers,
             fractional_retry_after: c.fractional_retry_after,
             own_service: c.own_service.clone(),
@@ -148,7 +150,7 @@
 
 impl ConventionSettings {
     /// Returns the keys of the header settings with their values.
-    fn header_names(&self) -> [(&'static str, Option<&str>); 7] {
+    fn header_names(&self) -> [(&'static str, Option<&str>); 9] {
         [
             ("deadline_header", self.deadline_header.as_deref()),
             ("not_run_header", self.not_run_header.as_deref()),
@@ -157,6 +159,8 @@
             ("caller_service_header", self.caller_service_header.as_deref()),
             ("signature_header", self.signature_header.as_deref()),
             ("health_instance_header", self.health_instance_header.as_deref()),
+            ("rate_limit_header", self.rate_limit_header.as_deref()),
+            ("leaving_header", self.leaving_header.as_deref()),
         ]
     }
 }
--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -194,6 +194,10 @@
     pub signature_header: Option<Arc<str>>,
     /// Header with which an upstream names its process in answers to health checks.
     pub health_instance_header: Option<Arc<str>>,
+    /// Header with which an upstream names the calls per second that it takes from all nodes.
+    pub rate_limit_header: Option<Arc<str>>,
+    /// Header with which an upstream says that it is leaving.
+    pub leaving_header: Option<Arc<str>>,
     /// Whether the end of the connection may delimit an answer.
     pub close_delimited_answers: bool,
     /// Whether `Retry-After` may contain fractions of a second.
