Send nothing new to an upstream that says it is leaving

An upstream that said in its answers that it is leaving got 40 of 60 further calls when its heartbeats did not say so.

Cause: leaving was known from heartbeats only.

Change: the node beside the upstream takes no more calls for it from that answer on, marks it as draining and tells the other nodes.

--- a/goldcresttally-membership/src/registry.rs
+++ b/goldcresttally-membership/src/registry.rs
@@ -219,6 +219,13 @@
         }
     }
 
+    /// Marks an upstream as draining; returns whether that is new.
+    pub fn drain(&mut self, service: &ServiceName, address: SocketAddr) -> bool {
+        let Some(lease) = self.leases.get_mut(&(service.clone(), address)) else { return false };
+        let previous = std::mem::replace(&mut lease.announcement.state, UpstreamState::Draining);
+        previous != UpstreamState::Draining
+    }
+
     /// Ends a lease; returns whether there was one.
     pub fn withdraw(&mut self, service: &ServiceName, address: SocketAddr) -> bool {
         self.leases.remove(&(service.clone(), address)).is_some()
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -182,6 +182,7 @@
         self.on_distribution(distribution::Event::Tick);
         self.expire_leases();
         self.withdraw_unreachable();
+        self.drain_leaving();
         self.join_if_due();
         self.write_claims_if_due();
         self.peer.tick();
--- a/goldcresttallyd/src/control/membership.rs
+++ b/goldcresttallyd/src/control/membership.rs
@@ -178,6 +178,17 @@
         }
     }
 
+    /// Marks the upstreams as draining that have said in an answer that they are leaving.
+    pub(super) fn drain_leaving(self: &Rc<Self>) {
+        let mut changed = false;
+        for (service, address) in &self.peer.leaving_upstreams() {
+            changed |= self.machines.borrow_mut().registry.drain(service, *address);
+        }
+        if changed {
+            self.publish_upstreams();
+        }
+    }
+
     /// Removes the upstreams whose leases have expired.
     pub(super) fn expire_leases(self: &Rc<Self>) {
         let expired = self.machines.borrow_mut().registry.expire(self.now());
