Do not take a repeated refusal for the refusal of the running call

Report of other operators: a faulty instance wrote an earlier refusal once more on a kept connection; callers were told "not run" for calls that ran, or such a call ran twice.

It could happen here in two ways: a refusal without an id on a connection that had carried another call, and the refusal of an earlier attempt of the same call, whose id is the same. Now a refusal on a kept connection counts only with the call's id, and a call that the upstream has refused before goes over a new connection.

--- a/goldcresttally-proxy/src/peer/health.rs
+++ b/goldcresttally-proxy/src/peer/health.rs
@@ -8,7 +8,7 @@
 use http::{Request, StatusCode};
 
 use super::Peer;
-use super::upstream::UpstreamPool;
+use super::upstream::{ConnectionChoice, UpstreamPool};
 use crate::body::full;
 use crate::headers;
 
@@ -33,7 +33,7 @@
         headers::set(req.headers_mut(), HOST, &address);
         let pool = UpstreamPool::new(address, self.state.clock);
         let limit = Duration::from_millis(HEALTH_TIMEOUT_MS);
-        let check = pool.send(&*self.transport, &self.tasks, req);
+        let check = pool.send(&*self.transport, &self.tasks, req, ConnectionChoice::New);
         let Ok(Ok((response, _connection))) = tokio::time::timeout(limit, check).await else {
             return false;
         };
--- a/goldcresttally-proxy/src/peer/limiter.rs
+++ b/goldcresttally-proxy/src/peer/limiter.rs
@@ -1,5 +1,6 @@
 //! Runs the admission state machine of one local upstream and wakes the calls that it admits.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -24,6 +25,9 @@
 /// Consecutive failures to connect after which an upstream counts as unreachable.
 const UNREACHABLE_AFTER_CALLS: u32 = 3;
 
+/// Number of refused calls that are remembered.
+const MAX_REFUSED_CALLS: usize = 128;
+
 type Decision = Result<(), Refusal>;
 
 #[derive(Debug)]
@@ -46,6 +50,8 @@
     generation: Generation,
     /// Consecutive calls that failed to connect.
     unreachable: AtomicU32,
+    /// The ids of the calls that the upstream refused last.
+    refused: Mutex<VecDeque<String>>,
 }
 
 /// A call's permit, first waiting and then running. Dropping it returns the slot.
@@ -95,6 +101,7 @@
             instance: upstream.instance.clone(),
             generation: upstream.generation,
             unreachable: AtomicU32::new(0),
+            refused: Mutex::default(),
         }
     }
 
@@ -207,6 +214,21 @@
         }
     }
 
+    /// Records that the upstream refused a call without running it.
+    pub(super) fn record_refused(&self, call_id: &str) {
+        let mut refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
+        refused.push_back(call_id.to_owned());
+        if refused.len() > MAX_REFUSED_CALLS {
+            refused.pop_front();
+        }
+    }
+
+    /// Returns whether the upstream refused a call with this id before.
+    pub(super) fn has_refused(&self, call_id: &str) -> bool {
+        let refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
+        refused.iter().any(|id| id == call_id)
+    }
+
     /// Returns whether several consecutive calls failed to connect to the upstream.
     pub(super) fn is_unreachable(&self) -> bool {
         self.unreachable.load(Ordering::Relaxed) >= UNREACHABLE_AFTER_CALLS
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -17,7 +17,7 @@
 use super::attempt_info::AttemptInfo;
 use super::attempts::Cancellation;
 use super::limiter::{Limiter, Permit};
-use super::upstream::{Connection, UpstreamError};
+use super::upstream::{Connection, ConnectionChoice, UpstreamError};
 use super::upstream_messages::{
     ResponseKind, SentRequest, is_large, is_overload, prepare_response_headers, upstream_request,
 };
@@ -101,8 +101,14 @@
         let req = upstream_request(parts, body.body(), deadline, &peer, limiter.instance());
         let limit = peer.state.clock.instant(self.info.deadline);
         let sent_at = peer.state.clock.now();
+        // A refusal of this call that the upstream repeats on a kept connection would look like one
+        // of this attempt.
+        let choice = match limiter.has_refused(&self.call_id) {
+            true => ConnectionChoice::New,
+            false => ConnectionChoice::Any,
+        };
         let sent = tokio::select! {
-            sent = limiter.pool().send(&*peer.transport, &peer.tasks, req) => sent,
+            sent = limiter.pool().send(&*peer.transport, &peer.tasks, req, choice) => sent,
             () = tokio::time::sleep_until(limit) => {
                 self.abandon(Reason::Deadline);
                 return None;
@@ -119,7 +125,11 @@
             Err(UpstreamError::NotSent) => self.refuse(CallError::not_run(Reason::Unreachable)),
             Err(UpstreamError::Lost) => self.abandon(Reason::ConnectionLost),
             Ok((response, connection)) => {
-                let kind = sent_request.classify(&response, conventions);
+                let kept = connection.is_kept();
+                let kind = sent_request.classify(&response, conventions, kept);
+                if matches!(kind, ResponseKind::Shed | ResponseKind::WrongInstance) {
+                    limiter.record_refused(&self.call_id);
+                }
                 if matches!(kind, ResponseKind::Valid | ResponseKind::Shed) {
                     for news in limiter.record_answer(&peer.state, response.headers(), sent_at) {
                         self.log(news);
--- a/goldcresttally-proxy/src/peer/upstream.rs
+++ b/goldcresttally-proxy/src/peer/upstream.rs
@@ -49,6 +49,24 @@
     sender: SendRequest<CallBody>,
     task: AbortHandle,
     idle_since: MonoTime,
+    /// Whether it carried an earlier call.
+    kept: bool,
+}
+
+impl Connection {
+    /// Returns whether the connection carried an earlier call.
+    pub fn is_kept(&self) -> bool {
+        self.kept
+    }
+}
+
+/// Which connections may carry a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ConnectionChoice {
+    /// An idle connection, or a new one if there is none.
+    Any,
+    /// Only a new connection.
+    New,
 }
 
 impl Drop for Connection {
@@ -76,15 +94,18 @@
         self.address
     }
 
-    /// Sends a request over an idle or new connection; returns the response and its connection,
+    /// Sends a request over one of the chosen connections; returns the response and its connection,
     /// which the caller passes to [`Self::release`] once the body is read to its end.
     pub async fn send(
         &self,
         transport: &dyn Transport,
         tasks: &TaskTracker,
         mut req: Request<CallBody>,
+        choice: ConnectionChoice,
     ) -> Result<(Response<Incoming>, Connection), UpstreamError> {
-        while let Some(mut connection) = self.take_idle() {
+        while choice == ConnectionChoice::Any
+            && let Some(mut connection) = self.take_idle()
+        {
             match connection.sender.try_send_request(req).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -111,6 +132,7 @@
             return;
         };
         connection.idle_since = self.clock.now();
+        connection.kept = true;
         let mut idle = self.worker_idle();
         if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(connection);
@@ -145,6 +167,6 @@
             return Err(UpstreamError::NotSent);
         };
         let task = tasks.spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Connection { sender, task, idle_since: self.clock.now() })
+        Ok(Connection { sender, task, idle_since: self.clock.now(), kept: false })
     }
 }
--- a/goldcresttally-proxy/src/peer/upstream_messages.rs
+++ b/goldcresttally-proxy/src/peer/upstream_messages.rs
@@ -50,7 +50,7 @@
     Shed,
     /// Another process has the upstream's address. The call did not run.
     WrongInstance,
-    /// A response with the id of another call.
+    /// A response with the id of another call, or a refusal that may be of another call.
     Mismatched,
     /// A response that is unsigned, has an unrequested encoding, or whose end cannot be detected.
     Malformed,
@@ -80,23 +80,30 @@
         &self.method
     }
 
-    /// Classifies a response by its status and headers.
+    /// Classifies a response by its status and headers; `kept` tells whether its connection carried
+    /// earlier calls.
     pub fn classify(
         &self,
         response: &Response<Incoming>,
         conventions: &Conventions,
+        kept: bool,
     ) -> ResponseKind {
         let map = response.headers();
         let echoed = conventions.call_id.as_ref().and_then(|name| map.get(name));
         if echoed.is_some() && echoed != self.call_id.as_ref() {
             return ResponseKind::Mismatched;
         }
-        if response.status() == StatusCode::MISDIRECTED_REQUEST
-            && conventions.target_instance.is_some()
-        {
+        let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST
+            && conventions.target_instance.is_some();
+        let refused = misdirected || map.contains_key(&conventions.not_run);
+        // Without an id, it may repeat the refusal of an earlier call on this connection.
+        if refused && kept && echoed.is_none() && self.call_id.is_some() {
+            return ResponseKind::Mismatched;
+        }
+        if misdirected {
             return ResponseKind::WrongInstance;
         }
-        if map.contains_key(&conventions.not_run) {
+        if refused {
             return ResponseKind::Shed;
         }
         let unsigned = conventions.signature.as_ref().is_some_and(|name| !map.contains_key(name));
