--- a/goldcresttally-proxy/src/peer/limiter.rs
+++ b/goldcresttally-proxy/src/peer/limiter.rs
@@ -11,7 +11,7 @@
 };
 use goldcresttally_core::{Generation, InstanceId, Map, MonoTime};
 use goldcresttally_routing::{LoadReport, UpstreamNotice};
-use http::HeaderMap;
+use http::{HeaderMap, HeaderValue};
 use tokio::sync::oneshot;
 
 use super::LocalUpstream;
@@ -51,7 +51,7 @@
     /// Consecutive calls that failed to connect.
     unreachable: AtomicU32,
     /// The ids of the calls that the upstream refused last.
-    refused: Mutex<VecDeque<String>>,
+    refused: Mutex<VecDeque<HeaderValue>>,
 }
 
 /// A call's permit, first waiting and then running. Dropping it returns the slot.
@@ -140,6 +140,7 @@
         let limit = inner.admission.load().limit;
         let mut free = limit as i32 - inner.admission.competitors(class.rank) as i32;
         let mut turn = turn;
+        // Under a rate limit the upstream looks like one whose slots become free at that rate.
         if let Some((allowed, interval)) = inner.admission.pacing() {
             let waiting = inner.admission.waiting_up_to(class.rank);
             free = free.min(allowed as i32 - waiting as i32);
@@ -215,18 +216,18 @@
     }
 
     /// Records that the upstream refused a call without running it.
-    pub(super) fn record_refused(&self, call_id: &str) {
+    pub(super) fn record_refused(&self, call_id: &HeaderValue) {
         let mut refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
-        refused.push_back(call_id.to_owned());
+        refused.push_back(call_id.clone());
         if refused.len() > MAX_REFUSED_CALLS {
             refused.pop_front();
         }
     }
 
     /// Returns whether the upstream refused a call with this id before.
-    pub(super) fn has_refused(&self, call_id: &str) -> bool {
+    pub(super) fn has_refused(&self, call_id: &HeaderValue) -> bool {
         let refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
-        refused.iter().any(|id| id == call_id)
+        refused.contains(call_id)
     }
 
     /// Returns whether several consecutive calls failed to connect to the upstream.
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -103,9 +103,9 @@
         let sent_at = peer.state.clock.now();
         // A refusal of this call that the upstream repeats on a kept connection would look like one
         // of this attempt.
-        let choice = match limiter.has_refused(&self.call_id) {
-            true => ConnectionChoice::New,
-            false => ConnectionChoice::Any,
+        let choice = match sent_request.call_id() {
+            Some(id) if limiter.has_refused(id) => ConnectionChoice::New,
+            _ => ConnectionChoice::Any,
         };
         let sent = tokio::select! {
             sent = limiter.pool().send(&*peer.transport, &peer.tasks, req, choice) => sent,
@@ -125,14 +125,16 @@
             Err(UpstreamError::NotSent) => self.refuse(CallError::not_run(Reason::Unreachable)),
             Err(UpstreamError::Lost) => self.abandon(Reason::ConnectionLost),
             Ok((response, connection)) => {
-                let kept = connection.is_kept();
-                let kind = sent_request.classify(&response, conventions, kept);
-                if matches!(kind, ResponseKind::Shed | ResponseKind::WrongInstance) {
-                    limiter.record_refused(&self.call_id);
+                let kind = sent_request.classify(&response, conventions, connection.is_kept());
+                if matches!(kind, ResponseKind::Shed | ResponseKind::WrongInstance)
+                    && let Some(id) = sent_request.call_id()
+                {
+                    limiter.record_refused(id);
                 }
                 if matches!(kind, ResponseKind::Valid | ResponseKind::Shed) {
-                    for news in limiter.record_answer(&peer.state, response.headers(), sent_at) {
-                        self.log(news);
+                    let news = limiter.record_answer(&peer.state, response.headers(), sent_at);
+                    for event in news {
+                        self.log(event);
                     }
                 }
                 return self
@@ -143,6 +145,8 @@
         None
     }
 
+    /// Passes on a response of the given kind, or what it means for the call; returns the
+    /// connection if it can be reused.
     async fn handle_response(
         &mut self,
         permit: &mut Permit<'_>,
--- a/goldcresttally-proxy/src/peer/upstream_messages.rs
+++ b/goldcresttally-proxy/src/peer/upstream_messages.rs
@@ -80,6 +80,11 @@
         &self.method
     }
 
+    /// Returns the id that the caller gave the request, if upstreams echo ids.
+    pub fn call_id(&self) -> Option<&HeaderValue> {
+        self.call_id.as_ref()
+    }
+
     /// Classifies a response by its status and headers; `kept` tells whether its connection carried
     /// earlier calls.
     pub fn classify(
--- a/goldcresttallyd/src/control/connections.rs
+++ b/goldcresttallyd/src/control/connections.rs
@@ -32,6 +32,9 @@
 /// response takes longer on a slow link.
 const REQUEST_TIMEOUT_MS: u64 = 1500;
 
+/// Time limit for a complete response to a request, in milliseconds.
+const RESPONSE_TIMEOUT_MS: u64 = 6000;
+
 /// Interval between heartbeats on an open connection, in milliseconds.
 const HEARTBEAT_INTERVAL_MS: u64 = 5000;
 
@@ -204,12 +207,13 @@
     }
 
     /// Waits until nothing has been received on the connection to a node for the time limit, from
-    /// now on.
+    /// now on, or until the time for a complete response is over.
     async fn wait_until_silent(&self, to: NodeId) {
         let limit = Duration::from_millis(REQUEST_TIMEOUT_MS);
+        let respond_by = Instant::now() + Duration::from_millis(RESPONSE_TIMEOUT_MS);
         let mut silent_at = Instant::now() + limit;
-        loop {
-            tokio::time::sleep_until(silent_at).await;
+        while Instant::now() < respond_by {
+            tokio::time::sleep_until(silent_at.min(respond_by)).await;
             let last_received = self.open.borrow().get(&to).map(|c| c.last_received.get());
             let next = last_received.map(|at| Instant::from_std(at) + limit);
             match next {
