--- a/goldcresttally-admission/src/lib.rs
+++ b/goldcresttally-admission/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`rate_limit`]: the rate limit that an upstream names, and the pacing of calls to it.
 //! * [`queue`]: waiting calls by rank, with floor shares.
 //! * [`service_times`]: average service times by call class.
+//! * [`transfers`]: schedules the large request bodies that arrive over the VM's link.
 //! * [`admission`]: the deterministic state machine that makes the decisions.
 
 pub mod admission;
@@ -14,9 +15,13 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod service_times;
+pub mod transfers;
 
 pub use admission::Admission;
 pub use event::{Action, CallId, Event, Load, Options, Policy, Refusal};
 pub use limit::{AdaptiveLimit, Outcome};
 pub use rate_limit::{NamedLimit, Pacer};
 pub use service_times::CallClass;
+pub use transfers::{
+    TransferAction, TransferEvent, TransferId, TransferLoad, TransferRequest, Transfers,
+};
--- a/goldcresttally-config/src/snapshot/build.rs
+++ b/goldcresttally-config/src/snapshot/build.rs
@@ -34,15 +34,26 @@
         for (name, text) in bodies {
             sections.push((name, format.read(name, text)?));
         }
+        let sections: Vec<_> = sections.iter().map(|(name, section)| (*name, section)).collect();
+        Self::link_bodies(version, bodies, &sections)
+    }
+
+    /// Links the parsed sections; `bodies` are their texts, from which the lines of errors are
+    /// taken.
+    pub(crate) fn link_bodies(
+        version: Version,
+        bodies: &[(SectionName, Arc<str>)],
+        sections: &[(&SectionName, &Section)],
+    ) -> Result<Self> {
         let with_line = |e: Error| {
             let body = bodies.iter().find(|(name, _)| Some(name) == e.section.as_ref());
             let line = body.and_then(|(_, text)| line_of(text, &e.path));
             e.with_line(line)
         };
-        Self::link(version, &sections).map_err(with_line)
+        Self::link(version, sections).map_err(with_line)
     }
 
-    fn link(version: Version, sections: &[(&SectionName, Section)]) -> Result<Self> {
+    fn link(version: Version, sections: &[(&SectionName, &Section)]) -> Result<Self> {
         let mut snapshot = Self { version, ..Self::default() };
         snapshot.add_limits(sections)?;
         snapshot.add_services(sections)?;
@@ -55,7 +66,7 @@
         Ok(snapshot)
     }
 
-    fn add_limits(&mut self, sections: &[(&SectionName, Section)]) -> Result<()> {
+    fn add_limits(&mut self, sections: &[(&SectionName, &Section)]) -> Result<()> {
         let mut definitions = sections.iter().filter_map(|(name, s)| Some((name, s.limits?)));
         self.limits = definitions.next().map_or_else(LimitsSpec::default, |(_, limits)| limits);
         match definitions.next() {
@@ -64,7 +75,7 @@
         }
     }
 
-    fn add_services(&mut self, sections: &[(&SectionName, Section)]) -> Result<()> {
+    fn add_services(&mut self, sections: &[(&SectionName, &Section)]) -> Result<()> {
         for (section, name, spec) in
             sections.iter().flat_map(|(s, c)| c.services.iter().map(move |(n, spec)| (*s, n, spec)))
         {
@@ -91,7 +102,7 @@
 
     fn add_ranks(
         &mut self,
-        sections: &[(&SectionName, Section)],
+        sections: &[(&SectionName, &Section)],
     ) -> Result<Map<RankName, Arc<Rank>>> {
         let mut specs: Vec<(&SectionName, &RankName, &RankSpec)> = sections
             .iter()
--- a/goldcresttally-core/src/ids.rs
+++ b/goldcresttally-core/src/ids.rs
@@ -153,6 +153,12 @@
     "incarnation"
 );
 
+number_type!(
+    /// A position in the change feed of a table.
+    FeedPosition,
+    "feed position"
+);
+
 /// Identifies a node: the address of its control listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -168,7 +174,10 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self> {
-        text.parse().map(Self).or_else(|_| invalid("node address", text, "IP:port"))
+        match text.parse::<SocketAddr>() {
+            Ok(address) if address.port() > 0 => Ok(Self(address)),
+            _ => invalid("node address", text, "IP:port"),
+        }
     }
 }
 
--- a/goldcresttally-core/src/lib.rs
+++ b/goldcresttally-core/src/lib.rs
@@ -21,9 +21,9 @@
 pub use collections::{Hasher, Map, Set};
 pub use errors::{Error, Result};
 pub use ids::{
-    AttemptId, DomainId, Generation, Incarnation, InstanceId, NodeId, OperationId, RankName,
-    RegionId, SectionName, ServiceName, TeamName, Version,
+    AttemptId, DomainId, FeedPosition, Generation, Incarnation, InstanceId, NodeId, OperationId,
+    RankName, RegionId, SectionName, ServiceName, TeamName, Version,
 };
 pub use time::{Deadline, MonoTime};
-pub use units::{ByteSize, Rate, Share};
+pub use units::{BitRate, ByteSize, Rate, Share};
 pub use verdict::Verdict;
--- a/goldcresttally-core/src/units.rs
+++ b/goldcresttally-core/src/units.rs
@@ -7,6 +7,9 @@
 
 use crate::errors::{Error, Result, invalid};
 
+/// Maximum bit rate that is accepted when parsing, in megabits per second.
+const MAX_BIT_RATE_MBIT_S: f64 = 1e6;
+
 /// A size in bytes, at most 4 GiB when parsed; written as `512`, `64KiB` or `8MiB`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
@@ -74,6 +77,51 @@
     }
 }
 
+/// A bit rate in bits per second; written as `14Mbit/s`, with fractions allowed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct BitRate(pub u64);
+
+impl BitRate {
+    /// Returns the rate in bytes per second.
+    pub fn bytes_per_s(self) -> u64 {
+        self.0 / 8
+    }
+}
+
+impl fmt::Display for BitRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}Mbit/s", self.0 as f64 / 1e6)
+    }
+}
+
+impl FromStr for BitRate {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        match text.strip_suffix("Mbit/s").map(str::parse::<f64>) {
+            Some(Ok(rate)) if (0.0..=MAX_BIT_RATE_MBIT_S).contains(&rate) => {
+                Ok(Self((rate * 1e6) as u64))
+            }
+            _ => invalid("bit rate", text, "megabits per second, as in `14Mbit/s`"),
+        }
+    }
+}
+
+impl TryFrom<String> for BitRate {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        text.parse()
+    }
+}
+
+impl From<BitRate> for String {
+    fn from(rate: BitRate) -> Self {
+        rate.to_string()
+    }
+}
+
 /// A fraction of a whole, from 0 to 1.
 #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
--- a/goldcresttally-distribution/examples/rollout.rs
+++ b/goldcresttally-distribution/examples/rollout.rs
@@ -22,7 +22,7 @@
 fn main() {
     let now = MonoTime::from_millis(0);
     let address = |n: u8| NodeId(std::net::SocketAddr::from(([10, 0, 0, n], 7400)));
-    let peer = |n| Peer { id: address(n), domain: "zone-a".parse().expect("a name") };
+    let peer = |n| Peer::new(address(n), "zone-a".parse().expect("a name"));
     let mut machine = Distribution::new(Options::default(), peer(1), 7, now);
     let mut events = vec![
         Event::MembersChanged((2..=4).map(peer).collect()),
--- a/goldcresttally-distribution/src/lib.rs
+++ b/goldcresttally-distribution/src/lib.rs
@@ -8,15 +8,18 @@
 //!
 //! * [`update`]: the difference between two versions.
 //! * [`bundle`]: the manifest and section bodies of one version.
+//! * [`notice`]: tells which version is the newest.
 //! * [`topology`]: which nodes poll, and to which nodes each one pushes.
 //! * [`machine`]: when to poll, fetch, install and push.
 
 pub mod bundle;
 pub mod machine;
+pub mod notice;
 pub mod topology;
 pub mod update;
 
 pub use bundle::Bundle;
 pub use machine::{Action, Distribution, Event, Mode, Options, Source, VersionReport};
+pub use notice::Notice;
 pub use topology::{Peer, Topology};
 pub use update::{ChangedSection, VersionUpdate};
--- a/goldcresttally-distribution/src/machine/fetch.rs
+++ b/goldcresttally-distribution/src/machine/fetch.rs
@@ -164,20 +164,29 @@
 impl Distribution {
     /// Records that a peer has a newer version, and schedules a fetch with a delay in which a push
     /// may still arrive.
-    pub(super) fn on_peer_version(&mut self, now: MonoTime, from: NodeId, version: Version) {
+    pub(super) fn on_peer_version(
+        &mut self,
+        now: MonoTime,
+        from: NodeId,
+        version: Version,
+        mean_delay: Duration,
+    ) {
         if version <= self.version().max(self.refused) {
             return;
         }
         let known = self.fetch_state.candidates.iter().any(|(id, v)| *id == from && *v == version);
-        if known {
+        let scheduled = self.fetch_state.not_before;
+        if known && scheduled.is_none() {
             return;
         }
-        let scheduled = self.fetch_state.not_before;
-        self.fetch_state.add_peer_source(now, from, version);
-        let delay = self.options.repair_delay.mul_f64(0.6 + 0.8 * self.rng.f64());
+        if !known {
+            self.fetch_state.add_peer_source(now, from, version);
+        }
+        let delay = mean_delay.mul_f64(0.6 + 0.8 * self.rng.f64());
         // A node that is not ready does not wait for a push.
         let delay = if self.ready { delay } else { Duration::ZERO };
-        self.fetch_state.not_before = scheduled.or(Some(Deadline::after(now, delay)));
+        let fetch_at = Deadline::after(now, delay);
+        self.fetch_state.not_before = Some(scheduled.map_or(fetch_at, |at| at.min(fetch_at)));
     }
 
     pub(super) fn fetch_if_due(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
--- a/goldcresttally-distribution/src/machine/mod.rs
+++ b/goldcresttally-distribution/src/machine/mod.rs
@@ -1,6 +1,7 @@
 //! The distribution state machine: decides when to poll, fetch, install and push versions.
 
 mod fetch;
+mod freshness;
 mod options;
 mod poll;
 mod push;
@@ -10,13 +11,15 @@
 use std::sync::Arc;
 
 use goldcresttally_config::{Digest, Manifest};
-use goldcresttally_core::{Deadline, MonoTime, NodeId, Version};
+use goldcresttally_core::{Deadline, FeedPosition, MonoTime, NodeId, Version};
 
 use crate::bundle::Bundle;
+use crate::notice::Notice;
 use crate::topology::{Peer, Topology};
 use crate::update::VersionUpdate;
 use fetch::FetchState;
 pub use fetch::VersionReport;
+use freshness::Freshness;
 pub use options::{Mode, Options};
 use poll::LongPoll;
 use push::PushRetries;
@@ -55,6 +58,16 @@
         version: Version,
         /// The digest of its manifest; `None` for version 0.
         manifest: Option<Digest>,
+        /// The position in the change feed up to which no later version was accepted, if there is
+        /// a feed.
+        position: Option<FeedPosition>,
+    },
+    /// A notice arrived.
+    Notice {
+        /// Its sender.
+        from: NodeId,
+        /// The notice.
+        notice: Notice,
     },
     /// This node accepted a version from an operator; the update has base 0.
     Accepted(Arc<VersionUpdate>),
@@ -110,6 +123,9 @@
     Poll {
         /// Time until which the table may hold a long poll that has nothing to tell.
         hold_until: Deadline,
+        /// The position in the change feed at which the version in force was the newest; a source
+        /// that has no later position of its own continues there.
+        position: Option<FeedPosition>,
     },
     /// Give up the long poll in progress, which is not answered, and use another connection for
     /// the next one.
@@ -133,6 +149,13 @@
         /// The update.
         update: Arc<VersionUpdate>,
     },
+    /// Send a notice to other nodes.
+    Notify {
+        /// The receivers.
+        to: Vec<NodeId>,
+        /// The notice.
+        notice: Notice,
+    },
     /// The version in force meets the floor: this node may serve calls.
     Ready(Version),
 }
@@ -156,6 +179,7 @@
     /// The version that the driver is installing, with its update and source.
     installing: Option<(Arc<Bundle>, Arc<VersionUpdate>, Source)>,
     fetch_state: FetchState,
+    freshness: Freshness,
     next_poll: Deadline,
     long_poll: LongPoll,
     gossip_rounds: u32,
@@ -177,6 +201,7 @@
             manifests: VecDeque::new(),
             installing: None,
             fetch_state: FetchState::default(),
+            freshness: Freshness::new(now),
             next_poll: Deadline(now),
             long_poll: LongPoll::default(),
             gossip_rounds: 0,
@@ -195,8 +220,9 @@
         match event {
             Event::Tick => self.on_tick(now, actions),
             Event::MembersChanged(others) => self.topology = Topology::new(&self.own, &others),
-            Event::TableRead { version, manifest } => {
+            Event::TableRead { version, manifest, position } => {
                 self.raise_floor(version);
+                self.on_table_answer(now, version, position);
                 self.fetch_state.add_platform_source(now, version, manifest);
                 self.repeat_long_poll(now, actions);
             }
@@ -207,7 +233,10 @@
             Event::PollProgress => self.on_poll_progress(now),
             Event::PollFailed => self.back_off_poll(now),
             Event::FloorLearned(version) => self.raise_floor(version),
-            Event::PeerVersion { from, version } => self.on_peer_version(now, from, version),
+            Event::PeerVersion { from, version } => {
+                self.on_peer_version(now, from, version, self.options.repair_delay);
+            }
+            Event::Notice { from, notice } => self.on_notice(now, from, notice),
             Event::Pushed { from, update } => {
                 self.on_update(now, Source::Peer(from), update, actions);
             }
@@ -267,6 +296,7 @@
     fn on_tick(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
         self.poll_if_due(now, actions);
         self.gossip_if_due(now, actions);
+        self.notify_if_due(now, false, actions);
         self.retry_pushes_if_due(now, actions);
     }
 
@@ -325,7 +355,9 @@
         self.manifests.push_front(previous.manifest().clone());
         self.manifests.truncate(MANIFEST_HISTORY);
         self.fetch_state.discard_sources(version);
+        self.confirm_by_notice();
         self.propagate(now, source, &self.outgoing_update(&previous, &update), actions);
+        self.notify_if_due(now, true, actions);
     }
 
     /// Returns the update to push, based on the previous version in force whatever the base of
--- a/goldcresttally-distribution/src/machine/options.rs
+++ b/goldcresttally-distribution/src/machine/options.rs
@@ -47,6 +47,8 @@
     pub gossip_interval: Duration,
     /// Mean wait for a push before a newer version reported by a peer is fetched.
     pub repair_delay: Duration,
+    /// The same wait if the version is reported by a notice.
+    pub notice_repair_delay: Duration,
     /// Time after which a fetch counts as failed.
     pub fetch_timeout: Duration,
     /// Expected number of nodes in the deployment.
@@ -67,6 +69,7 @@
             gossip_rounds: 4,
             gossip_interval: Duration::from_millis(200),
             repair_delay: Duration::from_millis(500),
+            notice_repair_delay: Duration::from_millis(200),
             fetch_timeout: Duration::from_millis(2500),
             fleet_size: 100,
             reads_per_second: 150,
--- a/goldcresttally-distribution/src/machine/poll.rs
+++ b/goldcresttally-distribution/src/machine/poll.rs
@@ -82,20 +82,18 @@
             self.next_poll = Deadline(now);
             actions.push(Action::AbandonPoll);
         }
-        if !self.next_poll.is_past(now) || self.long_poll.is_pending() {
+        let due = self.next_poll.is_past(now) && !self.long_poll.is_pending();
+        if !due || !self.reads_table(now) {
             return;
         }
         let wait = self.poll_interval().mul_f64(0.9 + 0.2 * self.rng.f64());
         self.next_poll = Deadline::after(now, wait);
-        let polls =
-            self.options.mode == Mode::Poll || self.topology.position() < self.options.pollers;
-        if polls {
-            let hold_until = match self.options.long_poll {
-                true => self.long_poll.start(now),
-                false => Deadline(now),
-            };
-            actions.push(Action::Poll { hold_until });
-        }
+        let hold_until = match self.options.long_poll {
+            true => self.long_poll.start(now),
+            false => Deadline(now),
+        };
+        let position = self.feed_position();
+        actions.push(Action::Poll { hold_until, position });
     }
 
     /// Allows more time for the answer of a long poll, which has begun or gone on to arrive.
--- a/goldcresttally-distribution/src/topology.rs
+++ b/goldcresttally-distribution/src/topology.rs
@@ -1,6 +1,8 @@
 //! Which nodes poll the configuration table, and to which nodes each one pushes versions.
 
-use goldcresttally_core::{DomainId, Map, NodeId, rendezvous};
+use std::cmp::Reverse;
+
+use goldcresttally_core::{BitRate, DomainId, Map, NodeId, rendezvous};
 
 /// A live member of the cluster.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -9,9 +11,27 @@
     pub id: NodeId,
     /// Its failure domain.
     pub domain: DomainId,
+    /// The rate of its link; 0 if unknown.
+    pub link: BitRate,
+    /// Whether it is expected to stay: it is neither leaving nor suspected to have failed.
+    pub stays: bool,
 }
 
-/// The live members by failure domain, each domain in rendezvous-hash order.
+impl Peer {
+    /// Returns a member that stays, with a link of unknown rate.
+    pub fn new(id: NodeId, domain: DomainId) -> Self {
+        Self { id, domain, link: BitRate::default(), stays: true }
+    }
+
+    /// Returns the sort key that puts the most suitable relays of versions first: members that
+    /// stay, then those with faster links, by powers of two, then in rendezvous-hash order.
+    fn order(&self) -> impl Ord + use<> {
+        let weight = rendezvous::weight(self.id, self.domain.as_str());
+        (!self.stays, Reverse(self.link.0.checked_ilog2()), Reverse(weight), self.id)
+    }
+}
+
+/// The live members by failure domain, each domain in the order of their suitability.
 ///
 /// The first members of a domain poll the table. The members of a domain form a tree in which the
 /// member at position `i` pushes versions to those at `fanout * i + 1` to `fanout * i + fanout`.
@@ -25,18 +45,15 @@
 impl Topology {
     /// Builds the topology from this node and the other live members.
     pub fn new(own: &Peer, others: &[Peer]) -> Self {
+        let mut members: Vec<&Peer> = others.iter().chain([own]).collect();
+        members.sort_by_cached_key(|peer| peer.order());
+        members.dedup_by_key(|peer| peer.id);
         let mut domains: Map<DomainId, Vec<NodeId>> = Map::default();
         let mut domain_of = Map::default();
-        for peer in others.iter().chain([own]) {
+        for peer in members {
             domains.entry(peer.domain.clone()).or_default().push(peer.id);
             domain_of.insert(peer.id, peer.domain.clone());
         }
-        for (domain, members) in &mut domains {
-            members.sort_by_cached_key(|id| {
-                (std::cmp::Reverse(rendezvous::weight(id, domain.as_str())), *id)
-            });
-            members.dedup();
-        }
         Self { own: Some(own.clone()), domains, domain_of }
     }
 
--- a/goldcresttally-distribution/tests/blocked_fetch.rs
+++ b/goldcresttally-distribution/tests/blocked_fetch.rs
@@ -60,7 +60,7 @@
 
     fn feed_delivers(&mut self, version: u64) -> Vec<Action> {
         let manifest = Some(manifest(version).digest());
-        self.event(Event::TableRead { version: Version(version), manifest })
+        self.event(Event::TableRead { version: Version(version), manifest, position: None })
     }
 
     /// Answers a fetch from the peer `from` with the peer's version.
--- a/goldcresttally-distribution/tests/common/mod.rs
+++ b/goldcresttally-distribution/tests/common/mod.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use goldcresttally_config::{Manifest, SectionEntry};
-use goldcresttally_core::{MonoTime, NodeId, Version};
+use goldcresttally_core::{Deadline, FeedPosition, MonoTime, NodeId, Version};
 use goldcresttally_distribution::{
-    Action, Bundle, ChangedSection, Distribution, Event, Options, Peer, Source, VersionUpdate,
+    Action, Bundle, ChangedSection, Distribution, Event, Notice, Options, Peer, Source,
+    VersionUpdate,
 };
 
 /// Interval of ticks and deliveries, in milliseconds.
@@ -19,7 +20,7 @@
 }
 
 pub fn peer(n: usize, domains: usize) -> Peer {
-    Peer { id: node(n), domain: format!("d{}", n % domains).parse().unwrap() }
+    Peer::new(node(n), format!("d{}", n % domains).parse().unwrap())
 }
 
 /// Returns the sections of a version; section `s` changes every `s + 1` versions.
@@ -73,8 +74,17 @@
     /// The newest version in the table.
     pub newest: u64,
     pub table_up: bool,
+    /// Nodes that the table refuses.
+    pub refused_by_table: BTreeSet<usize>,
+    /// Nodes whose requests to the table get no answer.
+    pub silenced: BTreeSet<usize>,
+    /// Nodes that are paused: they process nothing, and what arrives meanwhile is lost.
+    pub paused: BTreeSet<usize>,
+    /// Long polls that the table holds: the node, until when, and the version that it knew.
+    held: Vec<(usize, Deadline, u64)>,
     pub reads: u64,
     pub pushes: u64,
+    pub notices: u64,
     /// Versions that nodes refuse as invalid.
     pub invalid: BTreeSet<u64>,
     /// Nodes that reach neither the table nor the nodes outside of this set.
@@ -97,8 +107,13 @@
             in_force: vec![0; count],
             newest: 0,
             table_up: true,
+            refused_by_table: BTreeSet::new(),
+            silenced: BTreeSet::new(),
+            paused: BTreeSet::new(),
+            held: Vec::new(),
             reads: 0,
             pushes: 0,
+            notices: 0,
             invalid: BTreeSet::new(),
             partitioned: BTreeSet::new(),
             loss: 0.0,
@@ -135,11 +150,49 @@
         self.event(n, Event::MembersChanged(others));
     }
 
+    pub fn reaches_table(&self, n: usize) -> bool {
+        self.table_up && !self.partitioned.contains(&n) && !self.refused_by_table.contains(&n)
+    }
+
+    /// Answers the polls that the table holds when there is a new version or their time is over.
+    fn answer_polls(&mut self) {
+        let (now, newest) = (self.now, self.newest);
+        let due =
+            |(_, until, known): &mut (usize, Deadline, u64)| until.is_past(now) || *known < newest;
+        let due: Vec<_> = self.held.extract_if(.., due).collect();
+        for (n, ..) in due {
+            self.answer_poll(n);
+        }
+    }
+
+    fn answer_poll(&mut self, n: usize) {
+        let newest = self.newest;
+        let table_read = Event::TableRead {
+            version: Version(newest),
+            manifest: (newest > 0).then(|| manifest(newest).digest()),
+            position: Some(FeedPosition(newest)),
+        };
+        if !self.silenced.contains(&n) {
+            let up = self.reaches_table(n);
+            self.deliver(n, if up { table_read } else { Event::PollFailed });
+        }
+    }
+
+    /// Ends the process of node `n`; the others go on to count it as a member.
+    pub fn kill(&mut self, n: usize) {
+        self.machines[n] = None;
+        self.in_force[n] = 0;
+        self.held.retain(|(held, ..)| *held != n);
+    }
+
     fn reaches(&self, a: usize, b: usize) -> bool {
         self.partitioned.contains(&a) == self.partitioned.contains(&b)
     }
 
     pub fn event(&mut self, n: usize, event: Event) {
+        if self.paused.contains(&n) {
+            return;
+        }
         let Some(machine) = &mut self.machines[n] else { return };
         let mut actions = Vec::new();
         machine.on_event(self.now, event, &mut actions);
@@ -150,19 +203,24 @@
 
     fn handle_action(&mut self, n: usize, action: Action) {
         match action {
-            Action::AbandonPoll => {}
-            Action::Poll { .. } => {
+            Action::AbandonPoll => self.held.retain(|(held, ..)| *held != n),
+            Action::Poll { hold_until, position } => {
                 self.reads += 1;
-                let table_read = Event::TableRead {
-                    version: Version(self.newest),
-                    manifest: (self.newest > 0).then(|| manifest(self.newest).digest()),
-                };
-                let up = self.table_up && !self.partitioned.contains(&n);
-                self.deliver(n, if up { table_read } else { Event::PollFailed });
+                if self.silenced.contains(&n) {
+                    return;
+                }
+                if !self.reaches_table(n) {
+                    return self.deliver(n, Event::PollFailed);
+                }
+                // Without a position in the feed, a node reads the newest version at once.
+                match position.filter(|_| self.options.long_poll) {
+                    Some(FeedPosition(known)) => self.held.push((n, hold_until, known)),
+                    None => self.answer_poll(n),
+                }
             }
             Action::Fetch { source: Source::Platform, known, .. } => {
                 let source = Source::Platform;
-                let up = self.table_up && !self.partitioned.contains(&n);
+                let up = self.reaches_table(n) && !self.silenced.contains(&n);
                 let update = Arc::new(difference(known.0, self.newest));
                 let fetched = Event::Fetched { source, update };
                 self.deliver(n, if up { fetched } else { Event::FetchFailed { source } });
@@ -173,6 +231,7 @@
             }
             Action::Install(bundle) => self.install(n, &bundle),
             Action::Push { to, update } => self.push(n, to, update),
+            Action::Notify { to, notice } => self.notify(n, &to, notice),
             Action::Ready(version) => {
                 self.log.push(format!("{} node {n} ready at {version}", self.now));
             }
@@ -202,7 +261,8 @@
     fn push(&mut self, n: usize, to: NodeId, update: Arc<VersionUpdate>) {
         self.pushes += 1;
         let target = self.index(to);
-        let arrives = self.reaches(n, target) && self.machines[target].is_some();
+        let alive = self.machines[target].is_some() && !self.paused.contains(&target);
+        let arrives = self.reaches(n, target) && alive;
         if !arrives || self.rng.f64() < self.loss {
             self.deliver(n, Event::PushFailed { to, update });
             return;
@@ -213,6 +273,16 @@
         }
     }
 
+    fn notify(&mut self, n: usize, to: &[NodeId], notice: Notice) {
+        for id in to {
+            self.notices += 1;
+            let target = self.index(*id);
+            if self.reaches(n, target) && self.rng.f64() >= self.loss {
+                self.deliver(target, Event::Notice { from: node(n), notice });
+            }
+        }
+    }
+
     fn index(&self, id: NodeId) -> usize {
         (0..self.machines.len()).find(|n| node(*n) == id).unwrap()
     }
@@ -238,6 +308,7 @@
                     Delivery::Fetch { asker, peer, known } => self.answer_fetch(asker, peer, known),
                 }
             }
+            self.answer_polls();
             for n in 0..self.machines.len() {
                 self.event(n, Event::Tick);
             }
@@ -247,7 +318,8 @@
 
     fn answer_fetch(&mut self, asker: usize, peer: usize, known: Version) {
         let source = Source::Peer(node(peer));
-        let reachable = self.machines[peer].as_ref().filter(|_| self.reaches(asker, peer));
+        let alive = self.machines[peer].as_ref().filter(|_| !self.paused.contains(&peer));
+        let reachable = alive.filter(|_| self.reaches(asker, peer));
         let event = match reachable.filter(|m| m.version() > known) {
             Some(machine) => {
                 Event::Fetched { source, update: Arc::new(machine.update_since(known)) }
--- a/goldcresttally-distribution/tests/long_poll.rs
+++ b/goldcresttally-distribution/tests/long_poll.rs
@@ -45,12 +45,12 @@
     for n in 0..1200 {
         now = now + Duration::from_millis(50);
         let answered = n % 100 == 99 && in_progress == 1;
-        let table_read = Event::TableRead { version: Version(0), manifest: None };
+        let table_read = Event::TableRead { version: Version(0), manifest: None, position: None };
         let actions = step(&mut machine, now, if answered { table_read } else { Event::Tick });
         in_progress -= usize::from(answered);
         for action in actions {
             match action {
-                Action::Poll { hold_until } => {
+                Action::Poll { hold_until, .. } => {
                     assert!(!hold_until.is_past(now), "the table may not hold the poll");
                     in_progress += 1;
                 }
@@ -101,7 +101,11 @@
     let mut machine = machine(own, pollers);
     let others = (0..3).filter(|n| *n != own).map(|n| peer(n, 1)).collect();
     step(&mut machine, START, Event::MembersChanged(others));
-    let table_read = Event::TableRead { version: Version(1), manifest: Some(manifest(1).digest()) };
+    let table_read = Event::TableRead {
+        version: Version(1),
+        manifest: Some(manifest(1).digest()),
+        position: None,
+    };
     step(&mut machine, START, table_read);
     let fetched = Event::Fetched { source: Source::Platform, update: Arc::new(complete(1)) };
     step(&mut machine, START, fetched);
--- a/goldcresttally-distribution/tests/poll_rate_limit.rs
+++ b/goldcresttally-distribution/tests/poll_rate_limit.rs
@@ -21,7 +21,7 @@
     let start = MonoTime::from_millis(1000);
     let mut machines: Vec<_> = (0..FLEET_SIZE)
         .map(|n| {
-            let own = Peer { id: node(n), domain: "d".parse().unwrap() };
+            let own = Peer::new(node(n), "d".parse().unwrap());
             let mut machine = Distribution::new(options.clone(), own, n as u64, start);
             let first = n / group * group;
             let others = (first..(first + group).min(FLEET_SIZE)).filter(|o| *o != n);
@@ -40,8 +40,11 @@
             let polls = actions.drain(..).filter(|a| matches!(a, Action::Poll { .. })).count();
             reads += polls;
             for _ in 0..polls {
-                let event =
-                    Event::TableRead { version: goldcresttally_core::Version(0), manifest: None };
+                let event = Event::TableRead {
+                    version: goldcresttally_core::Version(0),
+                    manifest: None,
+                    position: None,
+                };
                 machine.on_event(now, event, &mut actions);
             }
         }
--- a/goldcresttally-distribution/tests/rollout.rs
+++ b/goldcresttally-distribution/tests/rollout.rs
@@ -153,8 +153,11 @@
     fleet.newest = 1;
     fleet.run(4000);
     // After version 5 is in force, a poller that was paused since version 2 reports its old read.
-    let stale =
-        Event::TableRead { version: Version(2), manifest: Some(common::manifest(2).digest()) };
+    let stale = Event::TableRead {
+        version: Version(2),
+        manifest: Some(common::manifest(2).digest()),
+        position: None,
+    };
     fleet.newest = 5;
     fleet.run(4000);
     for n in 0..8 {
--- a/goldcresttally-distribution/tests/silent_feed.rs
+++ b/goldcresttally-distribution/tests/silent_feed.rs
@@ -48,7 +48,7 @@
     fn feed_answers(&mut self, version: u64) {
         let manifest = (version > 0).then(|| manifest(version).digest());
         let polls = self.polls;
-        self.event(Event::TableRead { version: Version(version), manifest });
+        self.event(Event::TableRead { version: Version(version), manifest, position: None });
         assert_eq!(self.polls, polls + 1);
     }
 
--- a/goldcresttally-membership/examples/three_members.rs
+++ b/goldcresttally-membership/examples/three_members.rs
@@ -4,7 +4,7 @@
 
 use std::collections::VecDeque;
 
-use goldcresttally_core::{Generation, Incarnation, MonoTime, NodeId};
+use goldcresttally_core::{BitRate, Generation, Incarnation, MonoTime, NodeId};
 use goldcresttally_membership::{Action, Event, Membership, Options, Record, Status};
 
 fn record(n: u16) -> Record {
@@ -19,6 +19,7 @@
         incarnation: Incarnation(0),
         status: Status::Alive,
         leaving: false,
+        link: BitRate::default(),
         upstreams: Vec::new(),
     }
 }
--- a/goldcresttally-membership/src/machine/mod.rs
+++ b/goldcresttally-membership/src/machine/mod.rs
@@ -109,6 +109,17 @@
         /// Its version.
         version: Version,
     },
+    /// A member told which version is the newest accepted one.
+    NoticeReceived {
+        /// The member.
+        from: NodeId,
+        /// The version, which it has in force.
+        version: Version,
+        /// Position in the change feed up to which no later version was accepted; 0 without a feed.
+        position: u64,
+        /// Whether the table told it to the member itself.
+        direct: bool,
+    },
     /// Compare bucket hashes with a member and exchange the records that differ.
     Sync {
         /// The member.
@@ -246,6 +257,10 @@
                 self.relay_probe(now, header.from, sequence, target, actions);
             }
             Body::Ack { sequence } => self.on_ack(now, sequence, actions),
+            Body::Notice { position, direct } => {
+                let Header { from, version, .. } = header;
+                actions.push(Action::NoticeReceived { from, version, position, direct });
+            }
             Body::Gossip => {}
         }
     }
--- a/goldcresttally-membership/src/message.rs
+++ b/goldcresttally-membership/src/message.rs
@@ -37,6 +37,13 @@
         /// The sequence number of the probe.
         sequence: u64,
     },
+    /// Tells that the version in the header was the newest accepted one when it was sent.
+    Notice {
+        /// Position in the change feed up to which no later version was accepted; 0 without a feed.
+        position: u64,
+        /// Whether the table told it to the sender itself.
+        direct: bool,
+    },
     /// Carries only updates and needs no response.
     Gossip,
 }
--- a/goldcresttally-membership/src/record.rs
+++ b/goldcresttally-membership/src/record.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use goldcresttally_core::{
-    DomainId, Generation, Incarnation, NodeId, RegionId, ServiceName, text_enum,
+    BitRate, DomainId, Generation, Incarnation, NodeId, RegionId, ServiceName, text_enum,
 };
 
 /// The liveness of a node as the members see it.
@@ -90,6 +90,8 @@
     pub status: Status,
     /// Whether it accepts no new calls because it is about to stop.
     pub leaving: bool,
+    /// The rate of its link; 0 if unknown.
+    pub link: BitRate,
     /// The upstreams attached to it.
     pub upstreams: Vec<Upstream>,
 }
--- a/goldcresttally-membership/tests/common/mod.rs
+++ b/goldcresttally-membership/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 
-use goldcresttally_core::{Generation, Incarnation, MonoTime, NodeId, Version};
+use goldcresttally_core::{BitRate, Generation, Incarnation, MonoTime, NodeId, Version};
 use goldcresttally_membership::{
     Action, Event, Membership, Message, Options, Record, Status, Upstream, UpstreamState,
 };
@@ -26,6 +26,7 @@
         incarnation: Incarnation(0),
         status: Status::Alive,
         leaving: false,
+        link: BitRate::default(),
         upstreams: Vec::new(),
     }
 }
--- a/goldcresttally-proxy/src/call_log.rs
+++ b/goldcresttally-proxy/src/call_log.rs
@@ -3,6 +3,7 @@
 use std::fmt::{self, Debug};
 use std::time::Duration;
 
+use goldcresttally_admission::TransferLoad;
 use goldcresttally_core::{NodeId, Rate, ServiceName, Verdict, Version};
 use http::StatusCode;
 
@@ -82,6 +83,13 @@
     },
     /// At the upstream's node: the upstream has said in a response that it is leaving.
     UpstreamLeaving,
+    /// At the upstream's node: a body was refused because it could not arrive in time.
+    LinkFull {
+        /// The length of the body.
+        bytes: u64,
+        /// The load of the link.
+        load: TransferLoad,
+    },
     /// At the upstream's node: an attempt was refused, or ended without a response to forward.
     AttemptEnded {
         /// Whether it may have run.
@@ -114,6 +122,13 @@
             Self::UpstreamLimited { rate: Some(rate) } => write!(f, "limit={rate}"),
             Self::UpstreamLimited { rate: None } => f.write_str("limit=-"),
             Self::UpstreamLeaving => f.write_str("leaving=true"),
+            Self::LinkFull { bytes, load } => {
+                let TransferLoad { granted_bytes, waiting_bytes, rate } = load;
+                write!(
+                    f,
+                    "bytes={bytes} granted={granted_bytes} waiting={waiting_bytes} rate={rate}"
+                )
+            }
             Self::AttemptEnded { verdict, reason, load: (running, waiting) } => {
                 write!(f, "verdict={verdict} reason={reason} running={running} waiting={waiting}")
             }
--- a/goldcresttally-proxy/src/conventions.rs
+++ b/goldcresttally-proxy/src/conventions.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use goldcresttally_core::{Rate, ServiceName};
-use http::{HeaderMap, HeaderName};
+use http::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::headers;
 
@@ -45,6 +45,12 @@
         id.and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
+    /// Returns the header with the caller's id for a call.
+    pub(crate) fn id_header(&self, map: &HeaderMap) -> Option<(HeaderName, HeaderValue)> {
+        let name = self.call_id.as_ref()?;
+        Some((name.clone(), map.get(name)?.clone()))
+    }
+
     /// Returns the rate limit that an upstream's response names, if it can be read.
     pub(crate) fn named_rate(&self, map: &HeaderMap) -> Option<Rate> {
         headers::parse(map, self.rate_limit.as_ref()?)
--- a/goldcresttally-proxy/src/counters.rs
+++ b/goldcresttally-proxy/src/counters.rs
@@ -62,6 +62,8 @@
     dispatched,
     /// Attempts cancelled while they ran at an upstream.
     cancelled,
+    /// Bodies refused because they could not arrive over the link in time.
+    link_full,
     /// Endpoints ejected after failures.
     ejections,
 }
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -63,10 +63,18 @@
         let entry = &self.entry;
         let in_flight = self.track_in_flight(attempt);
         let mut guard = CancelGuard { entry, group, attempt: Some(attempt.clone()) };
-        let req = self.build_request(attempt, body, keyed);
-        let result = match attempt.endpoint.node == entry.state.identity.node {
-            true => Ok(entry.peer.handle_message(req).await),
-            false => self.send(attempt, req, group).await,
+        let result = match self.reserve(attempt, body, &in_flight).await {
+            Ok(granted) => {
+                let mut req = self.build_request(attempt, body, keyed);
+                if granted {
+                    headers::set(req.headers_mut(), headers::GRANTED, "true");
+                }
+                match attempt.endpoint.node == entry.state.identity.node {
+                    true => Ok(entry.peer.handle_message(req).await),
+                    false => self.send(attempt, req, group).await,
+                }
+            }
+            Err(error) => Err(error),
         };
         let result = match result {
             Ok(response) => self.read_response(attempt, response, in_flight, group).await,
@@ -192,11 +200,7 @@
         let map = req.headers_mut();
         map.remove(http::header::HOST);
         headers::set(map, headers::OP, "call");
-        headers::set(map, headers::SERVICE, &self.service.name);
-        headers::set(map, headers::RANK, &self.route.rank.name);
-        headers::set(map, headers::TARGET_MS, &self.route.target.as_millis());
-        let on_time = self.on_time_by.remaining(self.entry.state.clock.now()).as_millis();
-        headers::set_unindexed(map, headers::ON_TIME_MS, &on_time);
+        self.set_class_headers(map);
         if keyed {
             headers::set(map, headers::KEYED, "true");
         }
@@ -208,6 +212,15 @@
         req
     }
 
+    /// Sets the headers with the service, the rank and the target of the call.
+    pub(super) fn set_class_headers(&self, map: &mut http::HeaderMap) {
+        headers::set(map, headers::SERVICE, &self.service.name);
+        headers::set(map, headers::RANK, &self.route.rank.name);
+        headers::set(map, headers::TARGET_MS, &self.route.target.as_millis());
+        let on_time = self.on_time_by.remaining(self.entry.state.clock.now()).as_millis();
+        headers::set_unindexed(map, headers::ON_TIME_MS, &on_time);
+    }
+
     fn uri(&self) -> Uri {
         let mut parts = http::uri::Parts::default();
         parts.scheme = Some(Scheme::HTTP);
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -83,7 +83,9 @@
         let name = host.rsplit_once(':').map_or(host.as_str(), |(name, _)| name);
         let path = parts.uri.path();
         let Some(route) = config.snapshot.route(name, parts.method.as_str(), path) else {
-            return Err(CallError::not_run(Reason::NoRoute));
+            // A later configuration that has not arrived may have the route.
+            let reason = if entry.state.is_fresh() { Reason::NoRoute } else { Reason::NotReady };
+            return Err(CallError::not_run(reason));
         };
         let route = Arc::clone(route);
         let conventions = &entry.state.conventions;
--- a/goldcresttally-proxy/src/entry/keyed.rs
+++ b/goldcresttally-proxy/src/entry/keyed.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use goldcresttally_config::{Digest, OutagePolicy};
-use goldcresttally_core::{Deadline, Verdict};
+use goldcresttally_core::{BitRate, Deadline, Verdict};
 use goldcresttally_ledger::{Claim, ClaimState, Fingerprint, Settlement};
 use goldcresttally_routing::{CallAttempts, Endpoint, EndpointStats, Locality};
 use http::{HeaderValue, Response, StatusCode};
@@ -271,6 +271,7 @@
         generation: claim.holder_generation,
         peer: claim.holder_peer.parse().ok()?,
         locality: Locality::Remote,
+        link: BitRate::default(),
         slots: 1,
         ready: true,
         ready_since: goldcresttally_core::MonoTime(0),
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod feedback;
 mod hedging;
 mod keyed;
+mod reserve;
 mod settle;
 
 use std::sync::Arc;
--- a/goldcresttally-proxy/src/errors.rs
+++ b/goldcresttally-proxy/src/errors.rs
@@ -60,6 +60,8 @@
     Overloaded = "overloaded" => SERVICE_UNAVAILABLE,
     /// The deadline passed or cannot be met.
     Deadline = "deadline" => GATEWAY_TIMEOUT,
+    /// The body cannot arrive in time: the link of the upstream's VM is full.
+    LinkFull = "link-full" => SERVICE_UNAVAILABLE,
     /// The upstream or its node is stopping.
     Draining = "draining" => SERVICE_UNAVAILABLE,
     /// The upstream shed the call.
@@ -129,9 +131,10 @@
     pub fn status(&self) -> StatusCode {
         let status = self.reason.status();
         match (self.verdict, self.reason) {
-            (Verdict::NotRun, Reason::Deadline | Reason::Unreachable | Reason::ConnectionLost) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            (
+                Verdict::NotRun,
+                Reason::Deadline | Reason::Unreachable | Reason::ConnectionLost | Reason::Silent,
+            ) => StatusCode::SERVICE_UNAVAILABLE,
             (Verdict::NotRun, _) => status,
             (_, _) if promises_not_run(status) => StatusCode::BAD_GATEWAY,
             _ => status,
--- a/goldcresttally-proxy/src/headers.rs
+++ b/goldcresttally-proxy/src/headers.rs
@@ -6,7 +6,7 @@
 use http::header::{CONNECTION, HeaderName, TE, TRANSFER_ENCODING, UPGRADE};
 use http::{HeaderMap, HeaderValue};
 
-/// The operation of a message between nodes: `call`, `settle`, `cancel` or `ping`.
+/// The operation of a message between nodes: `call`, `reserve`, `settle`, `cancel` or `ping`.
 pub const OP: HeaderName = HeaderName::from_static("tally-op");
 /// The attempt's id.
 pub const ATTEMPT: HeaderName = HeaderName::from_static("tally-attempt");
@@ -24,6 +24,10 @@
 pub const ON_TIME_MS: HeaderName = HeaderName::from_static("tally-on-time-ms");
 /// Set on attempts of calls with an idempotency key, which the ledger retains for longer.
 pub const KEYED: HeaderName = HeaderName::from_static("tally-keyed");
+/// Length of a body for which room is requested, in bytes.
+pub const BODY_BYTES: HeaderName = HeaderName::from_static("tally-body-bytes");
+/// Set on an attempt whose body was granted room on the receiver's link.
+pub const GRANTED: HeaderName = HeaderName::from_static("tally-granted");
 /// Whether a call that failed may have run.
 pub const VERDICT: HeaderName = HeaderName::from_static("tally-verdict");
 /// Why a call failed.
--- a/goldcresttally-proxy/src/peer/limiter.rs
+++ b/goldcresttally-proxy/src/peer/limiter.rs
@@ -151,6 +151,7 @@
             limit: limit as u32,
             turn_ms: turn.as_millis() as u32,
             work_ms: work.as_millis() as u32,
+            link_ms: 0,
         }
     }
 
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -5,9 +5,11 @@
 mod attempts;
 mod health;
 mod limiter;
+mod reserve;
 mod run;
 mod settle;
 mod spawn_on_drop;
+mod transfers;
 mod upstream;
 mod upstream_messages;
 
@@ -15,12 +17,12 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use goldcresttally_admission::{Load, Policy};
-use goldcresttally_core::{AttemptId, Generation, InstanceId, Map, ServiceName};
+use goldcresttally_admission::{Load, Policy, TransferLoad};
+use goldcresttally_core::{AttemptId, BitRate, Generation, InstanceId, Map, ServiceName};
 use http::{Request, Response};
 use tokio_util::task::TaskTracker;
 
-use crate::body::{CallBody, ReplayableBody, full};
+use crate::body::{CallBody, ReplayableBody, boxed, full};
 use crate::errors::{CallError, Reason};
 use crate::headers;
 use crate::service::Handler;
@@ -30,6 +32,7 @@
 use attempts::AttemptLedger;
 pub use limiter::Limiter;
 use spawn_on_drop::SpawnOnDrop;
+use transfers::{ArrivingBody, TransferQueue};
 
 /// An upstream on this VM, as announced to its node.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -59,6 +62,7 @@
     tasks: TaskTracker,
     attempts: AttemptLedger,
     limiters: ArcSwap<Limiters>,
+    transfers: Arc<TransferQueue>,
     policy: Policy,
     redirects: bool,
 }
@@ -73,8 +77,29 @@
         policy: Policy,
         redirects: bool,
     ) -> Self {
-        let attempts = AttemptLedger::default();
-        Self { state, transport, tasks, attempts, limiters: ArcSwap::default(), policy, redirects }
+        let transfers = Arc::new(TransferQueue::new(state.clock, BitRate::default()));
+        Self {
+            state,
+            transport,
+            tasks,
+            attempts: AttemptLedger::default(),
+            limiters: ArcSwap::default(),
+            transfers,
+            policy,
+            redirects,
+        }
+    }
+
+    /// Sets the rate of the VM's link, by which large bodies are scheduled.
+    #[must_use]
+    pub fn with_link(self, link: BitRate) -> Self {
+        let transfers = Arc::new(TransferQueue::new(self.state.clock, link));
+        Self { transfers, ..self }
+    }
+
+    /// Returns the load of the link by large bodies that arrive.
+    pub fn transfer_load(&self) -> TransferLoad {
+        self.transfers.load()
     }
 
     /// Returns the node state that is shared by the request path.
@@ -116,6 +141,7 @@
 
     /// Refuses waiting calls whose deadline has passed; call it every few milliseconds.
     pub fn tick(&self) {
+        self.transfers.tick();
         for limiter in self.limiters.load().values().flatten() {
             limiter.tick(&self.state);
         }
@@ -163,6 +189,10 @@
         let op = headers::parse::<String>(req.headers(), &headers::OP);
         match op.as_deref() {
             Some("call") => self.call(req).await,
+            Some("reserve") => {
+                let (parts, _) = req.into_parts();
+                self.reserve(&parts.headers).await
+            }
             Some("settle") => {
                 let (parts, _) = req.into_parts();
                 self.settle(&parts.headers).await
@@ -179,11 +209,20 @@
             Ok(info) => info,
             Err(error) => return error.into_response(),
         };
+        let granted = req.headers().contains_key(headers::GRANTED);
+        // The grant may have ended while this process or the sender was paused.
+        if granted && !self.transfers.is_granted(info.attempt) {
+            return CallError::not_run(Reason::LinkFull).into_response();
+        }
         let cancelled = match self.attempts.begin(self.state.clock.now(), &info) {
             Ok(cancelled) => cancelled,
             Err(error) => return error.into_response(),
         };
-        let (parts, body) = req.into_parts();
+        let (parts, mut body) = req.into_parts();
+        if granted {
+            let queue = Arc::clone(&self.transfers);
+            body = boxed(ArrivingBody::new(body, queue, info.attempt));
+        }
         let read = ReplayableBody::read(body);
         let limit = self.state.clock.instant(info.deadline);
         // Nothing is sent to the upstream until the start of the body has arrived. Until then, an
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -369,6 +369,7 @@
             let load = limiter.load_report(class);
             sum = LoadReport { free: sum.free + load.free, limit: sum.limit + load.limit, ..load };
         }
+        sum.link_ms = self.transfers.expected_wait(info.rank).as_millis() as u32;
         sum
     }
 
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -106,6 +106,7 @@
     config: ArcSwap<ActiveConfig>,
     endpoints: ArcSwap<EndpointTable>,
     ready: AtomicBool,
+    fresh: AtomicBool,
     leaving: AtomicBool,
     /// Times until which a leaving node accepts calls, and by which they must have ended.
     accepts_until_us: AtomicU64,
@@ -137,6 +138,7 @@
             config: ArcSwap::default(),
             endpoints: ArcSwap::default(),
             ready: AtomicBool::new(false),
+            fresh: AtomicBool::new(true),
             leaving: AtomicBool::new(false),
             accepts_until_us: AtomicU64::new(u64::MAX),
             exit_by_us: AtomicU64::new(u64::MAX),
@@ -206,6 +208,17 @@
         self.ready.store(true, Ordering::Release);
     }
 
+    /// Returns whether the configuration in force was the newest a short time ago. If not, what it
+    /// lacks may exist.
+    pub fn is_fresh(&self) -> bool {
+        self.fresh.load(Ordering::Acquire)
+    }
+
+    /// Sets whether the configuration in force is known to be the newest.
+    pub fn set_fresh(&self, fresh: bool) {
+        self.fresh.store(fresh, Ordering::Release);
+    }
+
     /// Returns whether this node is leaving, so that it accepts no new calls to run.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Acquire)
--- a/goldcresttally-routing/examples/choose.rs
+++ b/goldcresttally-routing/examples/choose.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use goldcresttally_core::{Deadline, Generation, MonoTime, NodeId};
+use goldcresttally_core::{BitRate, Deadline, Generation, MonoTime, NodeId};
 use goldcresttally_routing::{Endpoint, EndpointStats, Locality, PickRequest, Picker};
 
 fn endpoint(address: &str, locality: Locality) -> Endpoint {
@@ -16,6 +16,7 @@
         generation: Generation(1),
         peer,
         locality,
+        link: BitRate::default(),
         slots: 2,
         ready: true,
         ready_since: MonoTime(0),
--- a/goldcresttally-routing/src/endpoint.rs
+++ b/goldcresttally-routing/src/endpoint.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicI32, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
-use goldcresttally_core::{Generation, MonoTime, NodeId};
+use goldcresttally_core::{BitRate, Generation, MonoTime, NodeId};
 
 use crate::class_table::{ClassTable, class_key};
 use crate::load::LoadReport;
@@ -19,6 +19,8 @@
 /// Network distance of an endpoint from this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Locality {
+    /// On this node's VM.
+    Vm,
     /// In this node's failure domain.
     Domain,
     /// In another failure domain of this node's region.
@@ -36,6 +38,7 @@
     free: AtomicI32,
     /// Calls of this node in flight at the endpoint when the report arrived.
     own_in_flight: AtomicU32,
+    link_ms: AtomicU32,
     received_at_us: AtomicU64,
 }
 
@@ -124,6 +127,7 @@
         let reported = &self.reported[rank_class(rank)];
         reported.free.store(load.free, Ordering::Relaxed);
         reported.own_in_flight.store(self.in_flight(rank), Ordering::Relaxed);
+        reported.link_ms.store(load.link_ms, Ordering::Relaxed);
         reported.received_at_us.store(now.0, Ordering::Relaxed);
         self.limit.store(load.limit, Ordering::Relaxed);
         self.turn_ms.store(load.turn_ms, Ordering::Relaxed);
@@ -151,7 +155,9 @@
             0 => slots,
             limit => limit,
         };
-        LoadReport { free, limit, turn_ms: self.turn_ms.load(Ordering::Relaxed), work_ms: 0 }
+        let link_ms = if valid { reported.link_ms.load(Ordering::Relaxed) } else { 0 };
+        let turn_ms = self.turn_ms.load(Ordering::Relaxed);
+        LoadReport { free, limit, turn_ms, work_ms: 0, link_ms }
     }
 
     /// Returns the reported average service time of a call class, in milliseconds.
@@ -181,6 +187,8 @@
     pub peer: SocketAddr,
     /// Network distance from this node.
     pub locality: Locality,
+    /// The rate of its VM's link; 0 if unknown.
+    pub link: BitRate,
     /// Number of calls that its upstreams run at the same time.
     pub slots: u32,
     /// Whether an upstream there is ready. Endpoints that are still starting get calls only when no
--- a/goldcresttally-routing/src/load.rs
+++ b/goldcresttally-routing/src/load.rs
@@ -8,7 +8,7 @@
 
 /// The load that a call of one class meets at the upstreams beside a node.
 ///
-/// Its text form is `free/limit/turn/work`.
+/// Its text form is `free/limit/turn/work/link`; earlier releases leave out the last part.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LoadReport {
     /// Free slots for the call's rank. Negative values count the waiting calls of its rank and of
@@ -20,6 +20,9 @@
     pub turn_ms: u32,
     /// Average service time of calls of this class, in milliseconds; 0 while unknown.
     pub work_ms: u32,
+    /// Time after which a large body of the call's rank would begin to arrive over the VM's link, in
+    /// milliseconds.
+    pub link_ms: u32,
 }
 
 impl LoadReport {
@@ -36,8 +39,8 @@
 
 impl fmt::Display for LoadReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { free, limit, turn_ms, work_ms } = self;
-        write!(f, "{free}/{limit}/{turn_ms}/{work_ms}")
+        let Self { free, limit, turn_ms, work_ms, link_ms } = self;
+        write!(f, "{free}/{limit}/{turn_ms}/{work_ms}/{link_ms}")
     }
 }
 
@@ -50,14 +53,16 @@
         let (Some(free), Some(limit), Some(turn), Some(work)) =
             (number(), number(), number(), number())
         else {
-            return invalid("load report", text, "free/limit/turn/work");
+            return invalid("load report", text, "free/limit/turn/work/link");
         };
+        let link = number().unwrap_or(0);
         let positive = |n: i64| n.clamp(0, u32::MAX.into()) as u32;
         Ok(Self {
             free: free.clamp(i32::MIN.into(), i32::MAX.into()) as i32,
             limit: positive(limit),
             turn_ms: positive(turn),
             work_ms: positive(work),
+            link_ms: positive(link),
         })
     }
 }
--- a/goldcresttally-routing/src/picker.rs
+++ b/goldcresttally-routing/src/picker.rs
@@ -36,6 +36,12 @@
 /// Bytes sent out of the failure domain that cost as much as one late answer.
 const BYTES_PER_LATE_ANSWER: f64 = 12_000.0;
 
+/// Maximum cost of bytes sent out of the failure domain: below that of a late answer.
+const MAX_BYTES_COST: f64 = 0.6;
+
+/// Length from which the bytes of a call have to wait for room on the link of the endpoint's VM.
+const LARGE_BODY_BYTES: u32 = 16 * 1024;
+
 /// Bytes of headers and framing per call between nodes.
 const CALL_OVERHEAD_BYTES: f64 = 300.0;
 
@@ -113,20 +119,33 @@
             request.now.since(endpoint.ready_since).as_secs_f64() / self.slow_start.as_secs_f64();
         let slow_start_factor = 2.0 - age.clamp(0.0, 1.0);
         let rtt_ms = if endpoint.locality == Locality::Remote { REMOTE_RTT_MS } else { 0 };
-        let start_delay = load.expected_wait(load.free) + Duration::from_millis(rtt_ms);
+        let transfer = transfer_time(request, endpoint, Duration::from_millis(load.link_ms.into()));
+        let start_delay = load.expected_wait(load.free) + Duration::from_millis(rtt_ms) + transfer;
         let time_left = request.on_time_by.remaining(request.now).saturating_sub(start_delay);
         let late =
             probability_late(time_left.as_secs_f64() * 1000.0, service_ms * slow_start_factor);
         let wait_share = start_delay.as_secs_f64() / request.target.as_secs_f64().max(0.001);
         let utilization = 1.0 - f64::from(load.free.max(0)) / f64::from(load.limit.max(1));
         let bytes = match endpoint.locality {
-            Locality::Domain => 0.0,
+            Locality::Vm | Locality::Domain => 0.0,
             Locality::Region | Locality::Remote => f64::from(request.bytes) + CALL_OVERHEAD_BYTES,
         };
         late + WAIT_COST * wait_share
             + SATURATION_COST * utilization * utilization
             + FAILURE_COST * stats.failure_rate()
-            + bytes / BYTES_PER_LATE_ANSWER
+            + (bytes / BYTES_PER_LATE_ANSWER).min(MAX_BYTES_COST)
+    }
+}
+
+/// Returns the time after which a large body has arrived at the endpoint, where other bodies are
+/// on their way for `wait`.
+fn transfer_time(request: &PickRequest, endpoint: &Endpoint, wait: Duration) -> Duration {
+    if request.bytes < LARGE_BODY_BYTES || endpoint.locality == Locality::Vm {
+        return Duration::ZERO;
+    }
+    match endpoint.link.bytes_per_s() {
+        0 => wait,
+        rate => wait + Duration::from_secs_f64(f64::from(request.bytes) / rate as f64),
     }
 }
 
--- a/goldcresttally-routing/tests/endpoint_choice.rs
+++ b/goldcresttally-routing/tests/endpoint_choice.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use goldcresttally_core::{Deadline, Generation, MonoTime, NodeId};
+use goldcresttally_core::{BitRate, Deadline, Generation, MonoTime, NodeId};
 use goldcresttally_routing::{
     Ejection, Endpoint, EndpointStats, LoadReport, Locality, PickRequest, Picker,
 };
@@ -18,6 +18,7 @@
         generation: Generation(1),
         peer: address,
         locality,
+        link: BitRate::default(),
         slots: 2,
         ready: true,
         ready_since: MonoTime(0),
@@ -44,7 +45,7 @@
 
 /// Returns the load of an endpoint without free slots, with `waiting` calls in its queue.
 fn full(waiting: i32) -> LoadReport {
-    LoadReport { free: -waiting, limit: 2, turn_ms: 100, work_ms: 100 }
+    LoadReport { free: -waiting, limit: 2, turn_ms: 100, work_ms: 100, link_ms: 0 }
 }
 
 /// Returns a linear congruential generator of numbers below a bound.
--- a/goldcresttally-store/src/source.rs
+++ b/goldcresttally-store/src/source.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use goldcresttally_config::{Digest, Manifest};
-use goldcresttally_core::{NodeId, Version};
+use goldcresttally_core::{FeedPosition, NodeId, Version};
 
 use crate::BoxFuture;
 use crate::document::{Document, Head};
@@ -19,6 +19,9 @@
     pub known: Version,
     /// Time until which a source with a change feed may wait for a newer version.
     pub hold_until: Instant,
+    /// A position in the change feed at which the known version was the newest, if there is one. A
+    /// source without a later position of its own continues there.
+    pub position: Option<FeedPosition>,
     /// Progress of the answer.
     pub progress: Progress,
 }
@@ -47,6 +50,11 @@
     /// `hold_until`.
     fn head(&self, req: HeadRequest) -> BoxFuture<'_, Result<Head>>;
 
+    /// Returns the position in the change feed that the last answer has reached, if there is a feed.
+    fn position(&self) -> Option<FeedPosition> {
+        None
+    }
+
     /// Closes open connections, so that the next request uses another one.
     fn reconnect(&self) {}
 
--- a/goldcresttally-wire/schema/wire.capnp
+++ b/goldcresttally-wire/schema/wire.capnp
@@ -43,6 +43,8 @@
   status @13 :Status;
   leaving @14 :Bool;
   upstreams @15 :List(Upstream);
+  linkKbits @16 :UInt32;
+  # Rate of the node's link in kilobits per second; 0 when it is unknown.
 }
 
 struct Datagram {
@@ -63,12 +65,21 @@
     }
     ack @12 :UInt64;
     gossip @13 :Void;
+    notice :group {
+      # The version in the header was the newest accepted one when this was sent.
+      position @14 :UInt64;
+      # Position in the change feed up to which no later version was accepted; 0 without a feed.
+      direct @15 :Bool;
+      # Whether the table told it to the sender itself.
+    }
   }
 }
 
 struct Section {
   name @0 :Text;
   body @1 :Text;
+  length @2 :UInt32;
+  # Length of the body in bytes when it is packed.
 }
 
 struct VersionUpdate {
@@ -76,7 +87,10 @@
   base @1 :UInt64;
   manifest @2 :Data;
   changed @3 :List(Section);
+  # Their bodies are empty when they are in `packed`.
   removed @4 :List(Text);
+  packed @5 :Data;
+  # The bodies of the changed sections one after the other, as an LZ4 block.
 }
 
 struct Claim {
--- a/goldcresttally-wire/src/datagram.rs
+++ b/goldcresttally-wire/src/datagram.rs
@@ -36,6 +36,11 @@
         Body::Ping { sequence } => to.set_ping(*sequence),
         Body::Ack { sequence } => to.set_ack(*sequence),
         Body::Gossip => to.set_gossip(()),
+        Body::Notice { position, direct } => {
+            let mut to = to.init_notice();
+            to.set_position(*position);
+            to.set_direct(*direct);
+        }
         Body::PingRequest { sequence, target } => {
             let mut to = to.init_ping_request();
             to.set_sequence(*sequence);
@@ -51,10 +56,10 @@
     NodeId(SocketAddr::new(address::from_words(high, low), port))
 }
 
-/// Decodes a datagram.
+/// Decodes a datagram; invalid records in it are passed to `on_invalid` and left out.
 ///
 /// Fails if it is larger than [`DATAGRAM_LIMIT_BYTES`] or malformed.
-pub fn decode(bytes: &[u8]) -> Result<Message> {
+pub fn decode(bytes: &[u8], on_invalid: &mut dyn FnMut(Error)) -> Result<Message> {
     if bytes.len() > DATAGRAM_LIMIT_BYTES {
         return Err(Error::Oversized { bytes: bytes.len() });
     }
@@ -70,6 +75,9 @@
         datagram::body::Ping(sequence) => Body::Ping { sequence },
         datagram::body::Ack(sequence) => Body::Ack { sequence },
         datagram::body::Gossip(()) => Body::Gossip,
+        datagram::body::Notice(notice) => {
+            Body::Notice { position: notice.get_position(), direct: notice.get_direct() }
+        }
         datagram::body::PingRequest(request) => Body::PingRequest {
             sequence: request.get_sequence(),
             target: node_id(
@@ -79,5 +87,5 @@
             ),
         },
     };
-    Ok(Message { header, body, updates: record::read_list(from.get_updates()?)? })
+    Ok(Message { header, body, updates: record::read_list(from.get_updates()?, on_invalid) })
 }
--- a/goldcresttally-wire/src/errors.rs
+++ b/goldcresttally-wire/src/errors.rs
@@ -32,6 +32,15 @@
         /// The kind of value.
         what: &'static str,
     },
+    /// The section bodies cannot be decompressed.
+    #[snafu(display("section bodies cannot be decompressed: {source}"), context(false))]
+    Compression {
+        /// The error of the codec.
+        source: lz4_flex::block::DecompressError,
+    },
+    /// The section bodies are shorter than announced.
+    #[snafu(display("the section bodies are incomplete"))]
+    Truncated,
     /// A datagram or the body of a section is larger than its limit.
     #[snafu(display("datagram or section of {bytes} bytes is over the limit"))]
     Oversized {
--- a/goldcresttally-wire/src/record.rs
+++ b/goldcresttally-wire/src/record.rs
@@ -2,12 +2,15 @@
 
 use std::net::{IpAddr, SocketAddr};
 
-use goldcresttally_core::{Generation, Incarnation, NodeId};
+use goldcresttally_core::{BitRate, Generation, Incarnation, NodeId};
 use goldcresttally_membership::{Record, Status, Upstream, UpstreamState};
 
-use crate::errors::Result;
+use crate::errors::{Error, Result};
 use crate::{address, wire_capnp};
 
+/// Bits in a kilobit.
+const BITS_PER_KBIT: u64 = 1000;
+
 /// Writes `record` to a message.
 pub fn write(record: &Record, mut to: wire_capnp::record::Builder<'_>) {
     write_addresses(record, to.reborrow());
@@ -17,6 +20,7 @@
     to.set_incarnation(record.incarnation.0);
     to.set_status(write_status(record.status));
     to.set_leaving(record.leaving);
+    to.set_link_kbits((record.link.0 / BITS_PER_KBIT).min(u32::MAX.into()) as u32);
     let mut list = to.init_upstreams(record.upstreams.len() as u32);
     for (i, upstream) in record.upstreams.iter().enumerate() {
         let mut to = list.reborrow().get(i as u32);
@@ -39,6 +43,9 @@
     let control = address::from_words(from.get_ip_high(), from.get_ip_low());
     let peer = (from.get_peer_ip_high(), from.get_peer_ip_low());
     let operator = (from.get_operator_ip_high(), from.get_operator_ip_low());
+    if from.get_control_port() == 0 {
+        return Err(Error::Unknown { what: "control port" });
+    }
     Ok(Record {
         id: NodeId(SocketAddr::new(control, from.get_control_port())),
         peer: SocketAddr::new(ip_or(control, peer), from.get_peer_port()),
@@ -49,6 +56,7 @@
         incarnation: Incarnation(from.get_incarnation()),
         status: read_status(from.get_status()?),
         leaving: from.get_leaving(),
+        link: BitRate(u64::from(from.get_link_kbits()) * BITS_PER_KBIT),
         upstreams,
     })
 }
@@ -63,11 +71,12 @@
     }
 }
 
-/// Reads a list of records; fails if any of them is invalid.
+/// Reads a list of records; invalid ones are passed to `on_invalid` and left out.
 pub fn read_list(
     from: capnp::struct_list::Reader<'_, wire_capnp::record::Owned>,
-) -> Result<Vec<Record>> {
-    from.iter().map(read).collect()
+    on_invalid: &mut dyn FnMut(Error),
+) -> Vec<Record> {
+    from.iter().filter_map(|record| read(record).map_err(&mut *on_invalid).ok()).collect()
 }
 
 fn write_addresses(record: &Record, mut to: wire_capnp::record::Builder<'_>) {
--- a/goldcresttally-wire/tests/decoders.rs
+++ b/goldcresttally-wire/tests/decoders.rs
@@ -4,14 +4,16 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use goldcresttally_config::Digest;
-use goldcresttally_core::{Generation, Incarnation, NodeId, Version};
+use goldcresttally_core::{BitRate, Generation, Incarnation, NodeId, Version};
 use goldcresttally_distribution::{ChangedSection, VersionUpdate};
 use goldcresttally_membership::{Body, Header, Message, Record, Status, Upstream, UpstreamState};
-use goldcresttally_wire::wire_capnp::version_update;
-use goldcresttally_wire::{DATAGRAM_LIMIT_BYTES, datagram, reader_options, update};
+use goldcresttally_wire::wire_capnp::{datagram as datagram_message, version_update};
+use goldcresttally_wire::{
+    DATAGRAM_LIMIT_BYTES, datagram, reader_options, record as wire_record, update,
+};
 
 fn node(u: &mut Unstructured<'_>) -> Result<NodeId> {
-    Ok(NodeId((u.arbitrary::<[u8; 4]>()?, u.arbitrary::<u16>()?).into()))
+    Ok(NodeId((u.arbitrary::<[u8; 4]>()?, u.int_in_range(1..=u16::MAX)?).into()))
 }
 
 fn record(u: &mut Unstructured<'_>) -> Result<Record> {
@@ -28,6 +30,7 @@
         incarnation: Incarnation(u.arbitrary()?),
         status: *u.choose(&[Status::Alive, Status::Suspect, Status::Dead, Status::Left])?,
         leaving: u.arbitrary()?,
+        link: BitRate(u64::from(u.arbitrary::<u32>()?) * 1000),
         upstreams: if u.arbitrary()? { vec![upstream] } else { Vec::new() },
     })
 }
@@ -39,23 +42,28 @@
         version: Version(u.arbitrary()?),
         refused: Version(u.arbitrary()?),
     };
-    let body = match u.int_in_range(0..=3)? {
+    let body = match u.int_in_range(0..=4)? {
         0 => Body::Ping { sequence: u.arbitrary()? },
         1 => Body::Ack { sequence: u.arbitrary()? },
         2 => Body::PingRequest { sequence: u.arbitrary()?, target: node(u)? },
+        3 => Body::Notice { position: u.arbitrary()?, direct: u.arbitrary()? },
         _ => Body::Gossip,
     };
     let updates = (0..u.int_in_range(0..=10)?).map(|_| record(u)).collect::<Result<_>>()?;
     Ok(Message { header, body, updates })
 }
 
+fn decode(bytes: &[u8]) -> goldcresttally_wire::Result<Message> {
+    datagram::decode(bytes, &mut |_| {})
+}
+
 #[test]
 fn datagrams_round_trip() {
     arbtest::arbtest(|u| {
         let message = message(u)?;
         let bytes = datagram::encode(&message).unwrap();
         assert!(bytes.len() <= DATAGRAM_LIMIT_BYTES, "{} bytes", bytes.len());
-        assert_eq!(datagram::decode(&bytes).unwrap(), message);
+        assert_eq!(decode(&bytes).unwrap(), message);
         Ok(())
     });
 }
@@ -76,6 +84,7 @@
             incarnation: Incarnation(12),
             status: Status::Alive,
             leaving: false,
+            link: BitRate(14_000_000),
             upstreams: vec![Upstream {
                 service: "certificates".parse().unwrap(),
                 slots: 6,
@@ -98,7 +107,7 @@
 fn arbitrary_bytes_do_not_panic() {
     arbtest::arbtest(|u| {
         let bytes: Vec<u8> = u.arbitrary()?;
-        let _ = datagram::decode(&bytes);
+        let _ = decode(&bytes);
         Ok(())
     });
 }
@@ -112,14 +121,14 @@
             bytes[at] = u.arbitrary()?;
         }
         bytes.truncate(u.int_in_range(0..=bytes.len())?);
-        let _ = datagram::decode(&bytes);
+        let _ = decode(&bytes);
         Ok(())
     });
 }
 
 #[test]
 fn oversized_datagram_is_refused() {
-    let error = datagram::decode(&vec![0; DATAGRAM_LIMIT_BYTES + 1]).unwrap_err();
+    let error = decode(&vec![0; DATAGRAM_LIMIT_BYTES + 1]).unwrap_err();
     assert!(error.to_string().contains("over the limit"), "{error}");
 }
 
@@ -150,3 +159,29 @@
         Ok(())
     });
 }
+
+#[test]
+fn odd_record_hides_no_other() {
+    arbtest::arbtest(|u| {
+        let good = record(u)?;
+        let mut builder = capnp::message::Builder::new_default();
+        let root = builder.init_root::<datagram_message::Builder<'_>>();
+        let mut updates = root.init_updates(2);
+        wire_record::write(&good, updates.reborrow().get(0));
+        let mut odd = updates.get(1);
+        match u.int_in_range(0..=3)? {
+            // A name that is too long, one that is not text, a port of 0, and nothing at all.
+            0 => odd.set_domain("x".repeat(200)),
+            1 => odd.set_domain("\u{1}\u{2}"),
+            2 => {
+                wire_record::write(&good, odd.reborrow());
+                odd.set_control_port(0);
+            }
+            _ => {}
+        }
+        let mut bytes = Vec::new();
+        capnp::serialize_packed::write_message(&mut bytes, &builder).unwrap();
+        assert_eq!(decode(&bytes).unwrap().updates, [good]);
+        Ok(())
+    });
+}
--- a/goldcresttallyd/src/control/connections.rs
+++ b/goldcresttallyd/src/control/connections.rs
@@ -22,6 +22,7 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::command::Traffic;
+use super::membership::entry_skipped;
 use super::metered::{LastReceived, MeteredStream};
 use crate::events::{self, emit};
 
@@ -115,7 +116,7 @@
         Ok(Some(JoinResponse {
             floor: response.get_knows_floor().then(|| Version(response.get_floor())),
             version: Version(response.get_version()),
-            records: record::read_list(response.get_records()?)?,
+            records: record::read_list(response.get_records()?, &mut |e| entry_skipped(&e)),
         }))
     }
 
@@ -128,7 +129,7 @@
             list.set(i as u32, *hash);
         }
         let response = self.await_response(to, request.send().promise).await?;
-        Ok(record::read_list(response.get()?.get_records()?)?)
+        Ok(record::read_list(response.get()?.get_records()?, &mut |e| entry_skipped(&e)))
     }
 
     /// Sends records that are newer than the receiver's.
--- a/goldcresttallyd/src/control/distribution.rs
+++ b/goldcresttallyd/src/control/distribution.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use goldcresttally_config::{Digest, Snapshot};
-use goldcresttally_core::{Deadline, NodeId, Version};
-use goldcresttally_distribution::{Action, Bundle, Event, Source, VersionUpdate};
+use goldcresttally_config::Digest;
+use goldcresttally_core::{Deadline, FeedPosition, NodeId, Version};
+use goldcresttally_distribution::{Action, Bundle, Event, Notice, Source, VersionUpdate};
 use goldcresttally_membership as members;
 use goldcresttally_store::{Error, HeadRequest, Progress};
 use tokio::task::AbortHandle;
@@ -35,7 +35,7 @@
 
     fn perform_distribution(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Poll { hold_until } => self.start_poll(hold_until),
+            Action::Poll { hold_until, position } => self.start_poll(hold_until, position),
             Action::AbandonPoll => self.abandon_poll(),
             Action::Fetch { source, manifest, known } => {
                 let control = Rc::clone(self);
@@ -46,6 +46,7 @@
                 let control = Rc::clone(self);
                 self.tasks.spawn_local(async move { control.push(to, update).await });
             }
+            Action::Notify { to, notice } => self.notify(&to, notice),
             Action::Ready(version) => {
                 self.peer.state().set_ready();
                 emit(events::NODE_READY, format_args!("at version {version}"));
@@ -57,7 +58,8 @@
     /// whole.
     fn install(self: &Rc<Self>, bundle: &Arc<Bundle>) {
         let version = bundle.version();
-        let built = Snapshot::build_with(&*self.format, version, &bundle.sections());
+        let sections = bundle.sections();
+        let built = self.section_cache.borrow_mut().build(&*self.format, version, &sections);
         match built.map(|snapshot| self.peer.state().install(snapshot)) {
             Ok(true) => {
                 self.log_installed(version);
@@ -101,11 +103,37 @@
         self.on_membership(members::Event::VersionChanged { version, refused });
     }
 
-    fn start_poll(self: &Rc<Self>, hold_until: Deadline) {
+    /// Sends a notice to other nodes.
+    fn notify(&self, to: &[NodeId], notice: Notice) {
+        let position = notice.position.map_or(0, |at| at.0);
+        let body = members::Body::Notice { position, direct: notice.direct };
+        let header = members::Header {
+            version: notice.version,
+            ..self.machines.borrow().membership.header()
+        };
+        let message = members::Message { header, body, updates: Vec::new() };
+        self.send_to_all(to, &message);
+    }
+
+    /// Handles a notice of another node.
+    pub(super) fn on_notice(
+        self: &Rc<Self>,
+        from: NodeId,
+        version: Version,
+        position: u64,
+        direct: bool,
+    ) {
+        let position = Some(FeedPosition(position)).filter(|at| *at > FeedPosition(0));
+        let notice = Notice { version, position, direct };
+        self.on_distribution(Event::Notice { from, notice });
+    }
+
+    fn start_poll(self: &Rc<Self>, hold_until: Deadline, position: Option<FeedPosition>) {
         let progress = Progress::default();
         let req = HeadRequest {
             known: self.machines.borrow().distribution.version(),
             hold_until: self.peer.state().clock.instant(hold_until).into_std(),
+            position,
             progress: progress.clone(),
         };
         let control = Rc::clone(self);
@@ -138,7 +166,8 @@
         match self.source.head(req).await {
             Ok(head) => {
                 let (version, manifest) = (head.version, head.manifest);
-                self.on_distribution(Event::TableRead { version, manifest });
+                let position = self.source.position();
+                self.on_distribution(Event::TableRead { version, manifest, position });
             }
             Err(e) => {
                 emit(events::POLL_FAILED, format_args!("{e}"));
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use goldcresttally_config::SectionFormat;
+use goldcresttally_config::{SectionCache, SectionFormat};
 use goldcresttally_core::{Deadline, MonoTime, NodeId};
 use goldcresttally_distribution::{self as distribution, Distribution};
 use goldcresttally_ledger::ClaimBatcher;
@@ -68,6 +68,8 @@
     pub tasks: TaskTracker,
     pub stop: CancellationToken,
     pub traffic: Rc<Cell<Traffic>>,
+    /// The parsed sections of the version in force.
+    pub section_cache: RefCell<SectionCache>,
     /// The poll of the table in progress or made last.
     pub poll_task: RefCell<Option<PollTask>>,
     /// Whether the membership view has changed since the endpoint table was last built from it.
@@ -92,7 +94,10 @@
         let now = config.peer.state().clock.now();
         let settings = config.settings;
         let id = config.own.id;
-        let own = distribution::Peer { id, domain: config.own.domain.clone() };
+        let own = distribution::Peer {
+            link: config.own.link,
+            ..distribution::Peer::new(id, config.own.domain.clone())
+        };
         let rate = goldcresttally_core::Rate(settings.requests.claim_writes_per_second);
         let options = distribution::Options {
             long_poll: config.source.has_feed(),
@@ -129,6 +134,7 @@
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
             traffic,
+            section_cache: RefCell::default(),
             poll_task: RefCell::new(None),
             endpoints_stale: Cell::new(true),
             next_publish: Cell::new(Deadline(now)),
@@ -180,6 +186,8 @@
         self.on_membership(members::Event::Tick);
         self.report_poll_progress();
         self.on_distribution(distribution::Event::Tick);
+        let fresh = self.machines.borrow().distribution.is_fresh(self.now());
+        self.peer.state().set_fresh(fresh);
         self.expire_leases();
         self.withdraw_unreachable();
         self.drain_leaving();
--- a/goldcresttallyd/src/control/membership.rs
+++ b/goldcresttallyd/src/control/membership.rs
@@ -25,6 +25,11 @@
 /// Interval at which the configuration is polled for during that wait, in milliseconds.
 const CONFIG_CHECK_INTERVAL_MS: u64 = 20;
 
+/// Logs that a record in a message was left out.
+pub(super) fn entry_skipped(error: &goldcresttally_wire::Error) {
+    emit(events::ENTRIES_SKIPPED, format_args!("list=members first=\"{error}\""));
+}
+
 impl Control {
     /// Passes an event to the membership state machine and performs the resulting actions.
     pub(super) fn on_membership(self: &Rc<Self>, event: Event) {
@@ -43,6 +48,9 @@
             Action::VersionSeen { from, version } => {
                 self.on_distribution(distribution::Event::PeerVersion { from, version });
             }
+            Action::NoticeReceived { from, version, position, direct } => {
+                self.on_notice(from, version, position, direct);
+            }
             Action::Sync { with } => self.spawn_sync(with),
             Action::Superseded { by } => {
                 let details =
@@ -65,18 +73,22 @@
     }
 
     fn send(&self, to: NodeId, message: &Message) {
-        if !self.transport.allows_datagram(to.0) {
-            return;
-        }
+        self.send_to_all(&[to], message);
+    }
+
+    /// Sends a datagram to several nodes.
+    pub(super) fn send_to_all(&self, to: &[NodeId], message: &Message) {
         let Ok(bytes) = datagram::encode(message) else {
             return;
         };
-        let mut traffic = self.traffic.get();
-        traffic.datagrams_out += 1;
-        traffic.bytes_out += bytes.len() as u64;
-        self.traffic.set(traffic);
-        // The protocol tolerates lost datagrams, so a failed send is ignored.
-        let _ = self.socket.try_send_to(&bytes, to.0);
+        for id in to.iter().filter(|id| self.transport.allows_datagram(id.0)) {
+            let mut traffic = self.traffic.get();
+            traffic.datagrams_out += 1;
+            traffic.bytes_out += bytes.len() as u64;
+            self.traffic.set(traffic);
+            // The protocol tolerates lost datagrams, so a failed send is ignored.
+            let _ = self.socket.try_send_to(&bytes, id.0);
+        }
     }
 
     pub(super) fn on_datagram(self: &Rc<Self>, from: SocketAddr, bytes: &[u8]) {
@@ -84,7 +96,7 @@
         traffic.datagrams_in += 1;
         traffic.bytes_in += bytes.len() as u64;
         self.traffic.set(traffic);
-        match datagram::decode(bytes) {
+        match datagram::decode(bytes, &mut |e| entry_skipped(&e)) {
             Ok(message) => self.on_membership(Event::DatagramReceived(message)),
             Err(e) => emit(events::DATAGRAM_INVALID, format_args!("from {from}: {e}")),
         }
--- a/goldcresttallyd/src/control/publish.rs
+++ b/goldcresttallyd/src/control/publish.rs
@@ -5,7 +5,7 @@
 
 use goldcresttally_core::{Generation, Map, Set};
 use goldcresttally_distribution as distribution;
-use goldcresttally_membership::{Event, Record, UpstreamState};
+use goldcresttally_membership::{Event, Record, Status, UpstreamState};
 use goldcresttally_proxy::peer::LocalUpstream;
 use goldcresttally_proxy::state::EndpointTable;
 use goldcresttally_routing::{Endpoint, Locality};
@@ -22,7 +22,12 @@
                 members.chain([machines.membership.own()]).cloned().collect();
             let own = machines.membership.own().id;
             let others = records.iter().filter(|r| r.id != own);
-            let peer = |r: &Record| distribution::Peer { id: r.id, domain: r.domain.clone() };
+            let peer = |r: &Record| distribution::Peer {
+                id: r.id,
+                domain: r.domain.clone(),
+                link: r.link,
+                stays: r.status == Status::Alive && !r.leaving,
+            };
             (others.map(peer).collect(), records)
         };
         self.on_distribution(distribution::Event::MembersChanged(peers));
@@ -63,6 +68,7 @@
                     generation: record.generation,
                     peer: record.peer,
                     locality: locality(own, record),
+                    link: record.link,
                     slots: upstream.slots,
                     ready,
                     ready_since: known
@@ -104,6 +110,9 @@
 }
 
 fn locality(own: &Record, other: &Record) -> Locality {
+    if own.id == other.id {
+        return Locality::Vm;
+    }
     match (own.domain == other.domain, own.region == other.region) {
         (true, _) => Locality::Domain,
         (false, true) => Locality::Region,
--- a/goldcresttallyd/src/control/server.rs
+++ b/goldcresttallyd/src/control/server.rs
@@ -21,6 +21,7 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use super::driver::Control;
+use super::membership::entry_skipped;
 use super::metered::MeteredStream;
 use crate::events::{self, emit};
 
@@ -168,8 +169,7 @@
         _results: control::OfferResults,
     ) -> Result<(), Error> {
         let control = self.control()?;
-        let records =
-            record::read_list(params.get()?.get_records()?).map_err(|e| invalid_message(&e))?;
+        let records = record::read_list(params.get()?.get_records()?, &mut |e| entry_skipped(&e));
         control.on_membership(members::Event::RecordsReceived(records));
         Ok(())
     }
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -48,6 +48,7 @@
     ISOLATION_ENDED = 1104 Info "sees most members again";
     DATAGRAM_INVALID = 1105 Warn "unreadable datagram";
     DIRECTORY_FAILED = 1106 Warn "directory of nodes could not be used";
+    ENTRIES_SKIPPED = 1107 Warn "entries of a list skipped: they cannot be read";
     VERSION_INSTALLED = 1201 Info "configuration version in force";
     VERSION_REFUSED = 1202 Error "configuration version refused whole";
     POLL_FAILED = 1203 Warn "table could not be read";
@@ -74,6 +75,7 @@
     ATTEMPT_SUSPECTED = 2005 Info "attempt in doubt: its node does not answer a probe";
     UPSTREAM_LIMITED = 2006 Info "upstream named another rate limit";
     UPSTREAM_LEAVING = 2007 Info "upstream says that it is leaving";
+    LINK_FULL = 2008 Info "body refused: it cannot arrive over the link in time";
 }
 
 /// Maximum number of lines of one kind per window; further ones are suppressed and counted.
@@ -192,6 +194,7 @@
             CallEvent::Suspected { .. } => ATTEMPT_SUSPECTED,
             CallEvent::UpstreamLimited { .. } => UPSTREAM_LIMITED,
             CallEvent::UpstreamLeaving => UPSTREAM_LEAVING,
+            CallEvent::LinkFull { .. } => LINK_FULL,
         };
         emit(kind, format_args!("{call} {event}"));
     }
--- a/goldcresttallyd/src/metrics_text.rs
+++ b/goldcresttallyd/src/metrics_text.rs
@@ -52,6 +52,9 @@
     line("ready", "", f64::from(u8::from(state.is_ready() && !state.is_leaving())));
     line("calls_in_flight", "", state.calls_in_flight() as f64);
     line("ledger_entries", "", peer.ledger_size().0 as f64);
+    let transfers = peer.transfer_load();
+    line("link_in_granted_bytes", "", transfers.granted_bytes as f64);
+    line("link_in_waiting_bytes", "", transfers.waiting_bytes as f64);
     for (service, _, load) in peer.loads() {
         let labels = format!("{{service=\"{service}\"}}");
         line("upstream_running", &labels, load.running as f64);
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -112,13 +112,14 @@
         let transport = options
             .transport
             .unwrap_or_else(|| Arc::new(TcpTransport::new(Some(id.0.ip()))) as Arc<dyn Transport>);
-        let peer = Arc::new(Peer::new(
+        let peer = Peer::new(
             Arc::clone(&state),
             Arc::clone(&transport),
             tasks.clone(),
             options.policy,
             settings.requests.redirects,
-        ));
+        );
+        let peer = Arc::new(peer.with_link(settings.node.link));
         let workers = Workers::start(settings.node.threads)?;
         let links = || {
             let links = LinkPool::new(Arc::clone(&state), Arc::clone(&transport), tasks.clone());
@@ -297,6 +298,7 @@
         incarnation: Incarnation(0),
         status: Status::Alive,
         leaving: false,
+        link: node.link,
         upstreams: Vec::new(),
     }
 }
--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use goldcresttally_config::Digest;
-use goldcresttally_core::{DomainId, NodeId, RegionId, ServiceName, TeamName};
+use goldcresttally_core::{BitRate, DomainId, NodeId, RegionId, ServiceName, TeamName};
 use goldcresttally_membership::registry::LEASE_MS;
 use serde::{Deserialize, Serialize};
 
@@ -60,6 +60,9 @@
     pub domain: DomainId,
     /// The region.
     pub region: RegionId,
+    /// The rate of the VM's link, as in `14Mbit/s`; unknown if absent.
+    #[serde(default)]
+    pub link: BitRate,
     /// Control addresses of nodes through which to join.
     #[serde(default)]
     pub seeds: Vec<NodeId>,
--- a/tally-lab/src/experiments/scale.rs
+++ b/tally-lab/src/experiments/scale.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use goldcresttally_config::{Manifest, SectionEntry, Snapshot};
-use goldcresttally_core::{AttemptId, Generation, Incarnation, MonoTime, NodeId, Version};
+use goldcresttally_core::{AttemptId, BitRate, Generation, Incarnation, MonoTime, NodeId, Version};
 use goldcresttally_distribution::{
     self as distribution, Bundle, ChangedSection, Distribution, VersionUpdate,
 };
@@ -130,7 +130,7 @@
             Header { from, generation: Generation(1), version: Version(0), refused: Version(0) };
         let Ok(bytes) = datagram::encode(&Message { header, body, updates }) else { return };
         self.bytes += bytes.len() as u64;
-        let Ok(message) = datagram::decode(&bytes) else { return };
+        let Ok(message) = datagram::decode(&bytes, &mut |_| {}) else { return };
         let mut actions = Vec::new();
         self.state_machine.on_event(
             self.now,
@@ -184,6 +184,7 @@
         incarnation: Incarnation(0),
         status: Status::Alive,
         leaving: false,
+        link: BitRate::default(),
         upstreams: vec![Upstream {
             service: service.parse().unwrap_or_else(|_| unreachable!("a valid name")),
             slots: 12,
@@ -232,10 +233,10 @@
     sections[7] = section(7, 65)?;
     let bundle = Bundle::default().patched(&first).ok_or("the first version does not apply")?;
     let snapshot = Snapshot::build(Version(1), &bundle.sections()).map_err(|e| e.to_string())?;
-    let local_peer = distribution::Peer {
-        id: NodeId(([10, 0, 0, 1], 7400).into()),
-        domain: "domain-0".parse().map_err(|e: goldcresttally_core::Error| e.to_string())?,
-    };
+    let local_peer = distribution::Peer::new(
+        NodeId(([10, 0, 0, 1], 7400).into()),
+        "domain-0".parse().map_err(|e: goldcresttally_core::Error| e.to_string())?,
+    );
     let state_machine =
         Distribution::new(distribution::Options::default(), local_peer, 1, MonoTime(0));
     let document_mb = rss_mb() - before;
