--- a/goldcresttally-routing/tests/endpoint_choice.rs
+++ b/goldcresttally-routing/tests/endpoint_choice.rs
@@ -204,7 +204,9 @@
 fn large_body_leaves_domain_whose_links_are_full() {
     let link = BitRate(11_000_000);
     let mut list = [endpoint(1, Locality::Domain), endpoint(2, Locality::Region)];
-    list.iter_mut().for_each(|endpoint| endpoint.link = link);
+    for endpoint in &mut list {
+        endpoint.link = link;
+    }
     let request = upload();
     let report = |link_ms| LoadReport { free: 2, link_ms, ..full(0) };
     list[0].stats.record_load(NOW, 0, request.target, report(200));
