A node that starts leaves its seeds a moment, and a busy seed names other members

Change: the first poll comes up to 1 s after the start, the first list after 0.8 to 1.6 s unless a member is known or joins fail; a busy seed answers with eight members, through which the node joins next, and learns its record.

--- a/goldcresttally-distribution/src/machine/poll.rs
+++ b/goldcresttally-distribution/src/machine/poll.rs
@@ -14,6 +14,10 @@
 /// regular interval is longer.
 const OUTAGE_POLL_LIMIT_S: u64 = 3;
 
+/// Maximum time from the start of a node until it polls, if there is a change feed and it knows no
+/// other reader, in milliseconds.
+const FIRST_POLL_MS: u64 = 1000;
+
 /// Time for which the table may hold a long poll, in milliseconds.
 const HOLD_MS: u64 = 1800;
 
@@ -69,9 +73,13 @@
 
 impl Distribution {
     /// Schedules the first poll with jitter, because nodes that start at once see no other members
-    /// yet and would all poll.
+    /// yet and would all poll. With a change feed, it leaves time to find the readers.
     pub(super) fn schedule_first_poll(&mut self, now: MonoTime) {
-        let delay = self.poll_interval().mul_f64(self.rng.f64());
+        let longest = match self.options.long_poll {
+            true => Duration::from_millis(FIRST_POLL_MS),
+            false => self.poll_interval(),
+        };
+        let delay = longest.mul_f64(self.rng.f64());
         self.next_poll = Deadline::after(now, delay);
     }
 
--- a/goldcresttallyd/src/control/connections.rs
+++ b/goldcresttallyd/src/control/connections.rs
@@ -61,7 +61,15 @@
 type Result<T> = std::result::Result<T, Error>;
 
 /// A seed's response to a join request.
-pub(super) struct JoinResponse {
+pub(super) enum JoinResponse {
+    /// The seed has accepted the node.
+    Joined(JoinState),
+    /// The seed is busy; some of the members that it knows.
+    Busy(Vec<Record>),
+}
+
+/// What a seed knows, for a node that joins.
+pub(super) struct JoinState {
     /// The oldest version that may be served at this address; `None` if the seed does not know it.
     pub floor: Option<Version>,
     pub version: Version,
@@ -103,20 +111,21 @@
         self.open.borrow_mut().clear();
     }
 
-    /// Joins through a seed; returns `None` if the seed is busy.
-    pub async fn join(&self, to: NodeId, own: &Record) -> Result<Option<JoinResponse>> {
+    /// Joins through a seed.
+    pub async fn join(&self, to: NodeId, own: &Record) -> Result<JoinResponse> {
         let client = self.client(to).await?;
         let mut request = client.join_request();
         record::write(own, request.get().init_record());
         let response = self.await_response(to, request.send().promise).await?;
         let response = response.get()?;
+        let records = record::read_list(response.get_records()?, &mut |e| entry_skipped(&e));
         if response.get_busy() {
-            return Ok(None);
+            return Ok(JoinResponse::Busy(records));
         }
-        Ok(Some(JoinResponse {
+        Ok(JoinResponse::Joined(JoinState {
             floor: response.get_knows_floor().then(|| Version(response.get_floor())),
             version: Version(response.get_version()),
-            records: record::read_list(response.get_records()?, &mut |e| entry_skipped(&e)),
+            records,
         }))
     }
 
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -82,6 +82,8 @@
     pub joined: Cell<bool>,
     /// Whether an attempt to join is in progress.
     pub joining: Cell<bool>,
+    /// Number of attempts to join that failed at all nodes asked.
+    pub failed_joins: Cell<u32>,
     /// The last second in which joins were requested of this node, and their number.
     pub join_window: Cell<(u64, u32)>,
     /// The reason why a version was refused last.
@@ -141,6 +143,7 @@
             next_suppression_report: Cell::new(Deadline(now)),
             joined: Cell::new(settings.node.seeds.iter().all(|s| *s == id)),
             joining: Cell::new(false),
+            failed_joins: Cell::new(0),
             join_window: Cell::new((0, 0)),
             refusal: RefCell::new(None),
             settings,
--- a/goldcresttallyd/src/control/join.rs
+++ b/goldcresttallyd/src/control/join.rs
@@ -7,8 +7,10 @@
 use goldcresttally_core::{Deadline, Map, NodeId};
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership as members;
+use goldcresttally_membership::Record;
 use goldcresttally_store::NodeDirectory;
 
+use super::connections::JoinResponse;
 use super::driver::Control;
 use crate::events::{self, emit};
 
@@ -23,6 +25,19 @@
 /// Maximum number of nodes tried concurrently in one attempt to join.
 const MAX_CONCURRENT_JOINS: usize = 3;
 
+/// Number of members that a node names which is too busy to accept a join.
+const BUSY_MEMBERS: usize = 8;
+
+/// Minimum time for which a node with seeds waits for them before it reads the directory, in
+/// milliseconds; at most twice that.
+const SEED_WAIT_MS: u64 = 800;
+
+/// Interval at which a node checks during that wait whether it has found others, in milliseconds.
+const SEED_CHECK_MS: u64 = 50;
+
+/// Number of attempts to join that fail at all seeds, after which the directory is read at once.
+const MAX_FAILED_JOINS: u32 = 2;
+
 /// Number of failed joins after which a listed node is removed from the directory: about half a
 /// minute at the longest retry interval.
 const REMOVE_AFTER_FAILURES: u32 = 6;
@@ -53,11 +68,38 @@
         self.joining.set(true);
         let control = Rc::clone(self);
         self.tasks.spawn_local(async move {
-            control.join_sample(seeds).await;
+            let asked = seeds.len().min(MAX_CONCURRENT_JOINS);
+            let failed = control.join_sample(seeds).await.len();
+            if failed == asked {
+                control.failed_joins.set(control.failed_joins.get() + 1);
+            }
             control.joining.set(false);
         });
     }
 
+    /// Returns a random sample of the members, for a node that cannot join here now.
+    pub(super) fn some_members(&self) -> Vec<Record> {
+        let machines = self.machines.borrow();
+        let mut members: Vec<_> = machines.membership.members().collect();
+        fastrand::shuffle(&mut members);
+        members.into_iter().take(BUSY_MEMBERS).cloned().collect()
+    }
+
+    /// Waits before the first read of the directory while the seeds may be sufficient.
+    async fn wait_for_seeds(&self) {
+        if self.settings.node.seeds.iter().all(|s| *s == self.settings.node.control) {
+            return;
+        }
+        let wait_ms = SEED_WAIT_MS + fastrand::u64(0..SEED_WAIT_MS);
+        let until = Deadline::after(self.now(), Duration::from_millis(wait_ms));
+        while !until.is_past(self.now())
+            && self.is_alone()
+            && self.failed_joins.get() < MAX_FAILED_JOINS
+        {
+            tokio::time::sleep(Duration::from_millis(SEED_CHECK_MS)).await;
+        }
+    }
+
     /// Tries to join through a random sample of `seeds` and returns the nodes that failed.
     ///
     /// The attempts run concurrently, since each unreachable node takes a full connection timeout.
@@ -80,6 +122,7 @@
         let Some(directory) = self.directory.clone() else { return };
         let own = self.machines.borrow().membership.own().id;
         let mut relist_at = Deadline(self.now());
+        let mut waited = false;
         let mut unknown_rounds = 0;
         let mut failures: Map<NodeId, u32> = Map::default();
         loop {
@@ -89,6 +132,10 @@
                     Err(e) => emit(events::DIRECTORY_FAILED, format_args!("{e}")),
                 }
             }
+            if !waited {
+                waited = true;
+                self.wait_for_seeds().await;
+            }
             let is_listed = relist_at.remaining(self.now()) > Duration::ZERO;
             if self.is_directory_reader() {
                 match self.join_unknown_listed(&*directory, &mut failures).await {
@@ -197,7 +244,7 @@
         let result = self.connections.join(seed, &record).await;
         let answered = result.is_ok();
         match result {
-            Ok(Some(joined)) => {
+            Ok(JoinResponse::Joined(joined)) => {
                 self.set_joined(true);
                 let now = self.now();
                 // Without a floor, the join is retried with the backoff of a failure.
@@ -219,7 +266,10 @@
                 // The seed's group must learn of this node's group too.
                 self.spawn_sync(seed);
             }
-            Ok(None) => self.machines.borrow_mut().join_backoff.record_failure(self.now()),
+            Ok(JoinResponse::Busy(records)) => {
+                self.machines.borrow_mut().join_backoff.record_failure(self.now());
+                self.on_membership(members::Event::RecordsReceived(records));
+            }
             Err(e) => {
                 emit(events::JOIN_FAILED, format_args!("through {seed}: {e}"));
                 self.machines.borrow_mut().join_backoff.record_failure(self.now());
--- a/goldcresttallyd/src/control/server.rs
+++ b/goldcresttallyd/src/control/server.rs
@@ -31,7 +31,8 @@
 /// Time without received bytes after which a connection is closed, in seconds.
 const IDLE_TIMEOUT_S: u64 = 20;
 
-/// Maximum number of joins served per second; further nodes get the answer `busy` and retry later.
+/// Maximum number of joins served per second; further nodes get the answer `busy` with a few
+/// members, and retry with one of them.
 const MAX_JOINS_PER_SECOND: u32 = 20;
 
 /// Maximum number of claims in one request.
@@ -132,6 +133,9 @@
         let mut results = results.get();
         if !admit_join(&control) {
             results.set_busy(true);
+            let records = control.some_members();
+            record::write_list(&records, results.init_records(records.len() as u32));
+            control.on_membership(members::Event::RecordsReceived(vec![joining]));
             return Ok(());
         }
         // Built before the record is learned: it must show what was known of the address before.
