--- a/goldcresttally-distribution/src/machine/freshness.rs
+++ b/goldcresttally-distribution/src/machine/freshness.rs
@@ -84,7 +84,9 @@
     /// no notices.
     pub(super) fn reads_table(&self, now: MonoTime) -> bool {
         let reader = self.topology.position() < self.options.pollers;
-        self.options.mode == Mode::Poll || reader || !self.is_fresh(now)
+        // An answer of the table is no substitute for notices: a later version needs another poll.
+        let notified = !self.freshness.confirmed_until.is_past(now);
+        self.options.mode == Mode::Poll || reader || (self.options.long_poll && !notified)
     }
 
     /// Records an answer of the table with its newest version.
@@ -99,6 +101,11 @@
         self.freshness.position = position.max(self.freshness.position);
     }
 
+    /// Discards the last answer of the table, which no longer answers.
+    pub(super) fn discard_table_answer(&mut self) {
+        self.freshness.answer = None;
+    }
+
     /// Records a notice, and schedules a fetch of its version if that is newer.
     pub(super) fn on_notice(&mut self, now: MonoTime, from: NodeId, notice: Notice) {
         let until = Deadline::after(now, Duration::from_millis(NOTICE_LIFETIME_MS));
--- a/goldcresttally-distribution/src/machine/poll.rs
+++ b/goldcresttally-distribution/src/machine/poll.rs
@@ -125,6 +125,7 @@
 
     /// Schedules the next poll after a failed one.
     pub(super) fn back_off_poll(&mut self, now: MonoTime) {
+        self.discard_table_answer();
         self.long_poll.answer_by = None;
         self.long_poll.failures += 1;
         let longest = match self.options.long_poll {
--- a/goldcresttally-distribution/tests/few_readers.rs
+++ b/goldcresttally-distribution/tests/few_readers.rs
@@ -5,11 +5,12 @@
 mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::{Fleet, peer};
-use goldcresttally_core::{BitRate, MonoTime};
-use goldcresttally_distribution::{Event, Options, Peer, Topology};
+use goldcresttally_core::{BitRate, MonoTime, Version};
+use goldcresttally_distribution::{Action, Distribution, Event, Options, Peer, Source, Topology};
 
 /// Time within which an accepted version must be in force, in milliseconds.
 const IN_FORCE_MS: u64 = 2000;
@@ -117,7 +118,7 @@
         self.fleet.kill(n);
         self.fleet.start_node(n);
         self.fleet.update_members(n);
-        let floor = goldcresttally_core::Version(self.fleet.newest);
+        let floor = Version(self.fleet.newest);
         self.fleet.event(n, Event::FloorLearned(floor));
         self.disturbed[n] = self.fleet.now;
         let detected = self.rng.u64(DETECTION_MS);
@@ -286,6 +287,44 @@
     assert!(fleet.reads <= 60, "{} reads", fleet.reads);
 }
 
+/// Returns whether a reader that has version 1 in force sends notices in 1 s of ticks after `event`.
+fn sends_notices_after(event: Option<Event>, pause_ms: u64) -> bool {
+    let mut now = MonoTime::from_millis(1000);
+    let own = Peer { link: BitRate(1_000_000_000), ..peer(0, 1) };
+    let mut machine = Distribution::new(options(), own, 7, now);
+    let mut actions = Vec::new();
+    let version = Version(1);
+    let manifest = Some(common::manifest(1).digest());
+    let update = Arc::new(common::complete(1));
+    for event in [
+        Event::MembersChanged(vec![peer(1, 1), peer(2, 1), peer(3, 1)]),
+        Event::Tick,
+        Event::TableRead { version, manifest, position: None },
+        Event::Fetched { source: Source::Platform, update },
+        Event::Installed(version),
+    ] {
+        machine.on_event(now, event, &mut actions);
+    }
+    actions.clear();
+    if let Some(event) = event {
+        machine.on_event(now, event, &mut actions);
+    }
+    now = now + Duration::from_millis(pause_ms);
+    for _ in 0..20 {
+        now = now + Duration::from_millis(50);
+        machine.on_event(now, Event::Tick, &mut actions);
+    }
+    actions.iter().any(|action| matches!(action, Action::Notify { .. }))
+}
+
+#[test]
+fn only_reader_that_the_table_answers_sends_notices() {
+    assert!(sends_notices_after(None, 0));
+    assert!(!sends_notices_after(Some(Event::PollFailed), 0));
+    // Paused: what the table answered before does not count any more.
+    assert!(!sends_notices_after(None, 3000));
+}
+
 #[test]
 fn nodes_with_faster_links_read() {
     let mut members: Vec<Peer> = (0..20).map(|n| peer(n, 1)).collect();
--- a/tally-lab/src/experiments/link.rs
+++ b/tally-lab/src/experiments/link.rs
@@ -118,6 +118,7 @@
     let bytes = fleet.network.links().bytes(vm, Direction::In);
     let per_s = load * LINK.bytes_per_s() as f64 / UPLOAD_BYTES as f64;
     let duration = Duration::from_secs(options.seconds);
+    let started = Instant::now();
     let upload = Bytes::from(vec![b'u'; UPLOAD_BYTES]);
     let uploads = send(entries.clone(), "intake", upload, per_s, UPLOAD_TARGET_MS, duration);
     let short = send(entries, "verify", Bytes::new(), SHORT_RATE, SHORT_TARGET_MS, duration);
@@ -125,7 +126,8 @@
     let force_ms = change(&mut fleet, duration).await?;
     let uploads = uploads.await.map_err(|e| e.to_string())?;
     let short = short.await.map_err(|e| e.to_string())?;
-    let capacity = duration.as_secs_f64() * LINK.bytes_per_s() as f64;
+    // The last uploads end after the time in which they are offered.
+    let capacity = started.elapsed().as_secs_f64() * LINK.bytes_per_s() as f64;
     let in_time = uploads.on_time as f64 * UPLOAD_BYTES as f64 / capacity;
     let passed = (fleet.network.links().bytes(vm, Direction::In) - bytes) as f64;
     let opened = fleet.network.connections_opened() - connections;
