--- a/goldcresttallyd/src/main.rs
+++ b/goldcresttallyd/src/main.rs
@@ -6,7 +6,7 @@
 use goldcresttally_core::Generation;
 use goldcresttallyd::events::{self, emit};
 use goldcresttallyd::{Node, NodeOptions, Settings, logging};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Exit code for an invalid command line, invalid settings or a failed start.
 const EXIT_USAGE: u8 = 2;
@@ -70,13 +70,15 @@
 
 /// Runs the node, and restarts it with a later generation each time it is superseded.
 async fn serve(path: &str, settings: Settings) -> Result<ExitCode, String> {
+    // Before the node starts: without a handler, an early SIGHUP would end the process.
+    let mut signals = Signals::subscribe().map_err(|e| e.to_string())?;
     let mut after_generation = Generation(0);
     loop {
         let options = NodeOptions { after_generation, ..NodeOptions::default() };
         let node = Node::start(settings.clone(), options)
             .await
             .map_err(|e| format!("cannot start: {e}"))?;
-        match run_until_stopped(path, node).await? {
+        match run_until_stopped(path, node, &mut signals).await {
             StopReason::Drained => return Ok(ExitCode::SUCCESS),
             StopReason::DrainTimedOut => return Ok(ExitCode::FAILURE),
             StopReason::Superseded(generation) => after_generation = generation,
@@ -85,23 +87,37 @@
 }
 
 /// Runs a node until a signal stops it or it is superseded; reloads the settings on `SIGHUP`.
-async fn run_until_stopped(path: &str, node: Node) -> Result<StopReason, String> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+async fn run_until_stopped(path: &str, node: Node, signals: &mut Signals) -> StopReason {
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(path, &node),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => reload(path, &node),
             () = node.control_ended() => {
                 let latest = node.state().latest_generation();
                 node.stop().await;
-                return Ok(StopReason::Superseded(latest));
+                return StopReason::Superseded(latest);
             }
         }
     }
-    Ok(if node.stop().await { StopReason::Drained } else { StopReason::DrainTimedOut })
+    if node.stop().await { StopReason::Drained } else { StopReason::DrainTimedOut }
+}
+
+/// The signals that stop the node or reload its settings.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn subscribe() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
 }
 
 /// Reloads the settings; invalid ones are logged and change nothing.
