review: case 2, a restarted node sends orders to an instance that has left

Cause: Registry::needs_confirmation trusts the second heartbeat of an instance that is older than the node without asking its health path. After a kill of the node, two late heartbeats bring back an instance whose deregistration was acknowledged.

--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,53 @@
+//! Plays one scenario of the review against the project's nodes.
+//!
+//! `standin SCENARIO RECORD`: exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+
+mod client;
+mod deployment;
+mod http;
+mod instance;
+mod json;
+mod late_heartbeats;
+mod record;
+mod store;
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use record::Record;
+
+/// What a scenario shows.
+pub enum Outcome {
+    Held,
+    Broken,
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let [scenario, path] = args.as_slice() else {
+        eprintln!("usage: standin SCENARIO RECORD");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = match Record::create(Path::new(path)) {
+        Ok(record) => Arc::new(record),
+        Err(e) => {
+            eprintln!("{path}: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    let outcome = match scenario.as_str() {
+        "late-heartbeats" => late_heartbeats::play(&record, trouble),
+        _ => Err(format!("unknown scenario {scenario}")),
+    };
+    match outcome {
+        Ok(Outcome::Held) => ExitCode::SUCCESS,
+        Ok(Outcome::Broken) => ExitCode::from(1),
+        Err(cause) => {
+            record.note(format_args!("could not run: {cause}"));
+            eprintln!("{cause}");
+            ExitCode::from(2)
+        }
+    }
+}
