--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -98,6 +98,18 @@
         self.tell(&path, &body)
     }
 
+    /// Delivers a heartbeat of another writer, which names this instance and lacks fields; returns the
+    /// status of the answer, or 0.
+    pub fn send_odd_heartbeat(&self) -> u16 {
+        let Self { id, service, address, born, .. } = self;
+        let born = born + self.record.now() as u128 * 1000;
+        let body = format!(
+            r#"{{"address":"{address}","born":{born},"info":{{"service":"{service}","slots":{SLOTS}}},"status":{{"state":"ready","sequence":1}}}}"#
+        );
+        let path = format!("/goldcresttally/rpc?call=instances.heartbeat&of={id}");
+        self.tell(&path, &body)
+    }
+
     /// Deregisters and leaves: from now on its answers say so and its health path answers 503.
     /// Returns the status of the answer, or 0.
     pub fn deregister(&self) -> u16 {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,7 +7,7 @@
 mod http;
 mod instance;
 mod json;
-mod late_heartbeats;
+mod leave;
 mod record;
 mod store;
 
@@ -15,6 +15,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use leave::Disruption;
 use record::Record;
 
 /// What a scenario shows.
@@ -38,7 +39,8 @@
         }
     };
     let outcome = match scenario.as_str() {
-        "late-heartbeats" => late_heartbeats::play(&record, trouble),
+        "late-heartbeats" => leave::play(&record, Disruption::LateHeartbeats, trouble),
+        "odd-heartbeat" => leave::play(&record, Disruption::OddHeartbeat, trouble),
         _ => Err(format!("unknown scenario {scenario}")),
     };
     match outcome {
