--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -86,6 +86,16 @@
         }
     }
 
+    /// Sends a signal to the process, by its name.
+    pub fn signal(&self, name: &str) -> Result<(), String> {
+        let id = self.child.as_ref().map_or(0, Child::id);
+        let sent = Command::new("sh").args(["-c", &format!("kill -{name} {id}")]).status();
+        match sent {
+            Ok(status) if id > 0 && status.success() => Ok(()),
+            _ => Err(format!("cannot send {name} to process {id}")),
+        }
+    }
+
     pub fn wait_until_ready(&self) -> Result<(), String> {
         let until = Instant::now() + START_LIMIT;
         let limit = Duration::from_secs(1);
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -16,6 +16,14 @@
 /// Time within which a heartbeat has to be acknowledged.
 const ACK_LIMIT: Duration = Duration::from_secs(1);
 
+/// Path prefix of requests that are answered with a document.
+const DOCUMENTS: &str = "/book/document/";
+
+/// The size of a document, in pieces of bytes, and the time between them.
+const DOCUMENT_PIECE: usize = 10_000;
+const DOCUMENT_PIECES: usize = 30;
+const DOCUMENT_PACE: Duration = Duration::from_millis(100);
+
 /// Returns the time that an instance works on a request; requests below `/book/long/` take long.
 fn work_of(path: &str) -> Duration {
     Duration::from_millis(if path.starts_with("/book/long/") { 1500 } else { 100 })
@@ -140,6 +148,9 @@
             if ended || stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
+            if request.path().starts_with(DOCUMENTS) && !write_document(&mut stream) {
+                return;
+            }
         }
     }
 
@@ -165,12 +176,28 @@
         while Instant::now() < until && !self.ended.load(Ordering::SeqCst) {
             std::thread::sleep(Duration::from_millis(10));
         }
+        let (length, body) = match request.path().starts_with(DOCUMENTS) {
+            true => (DOCUMENT_PIECE * DOCUMENT_PIECES, ""),
+            false => (4, "done"),
+        };
         let leaving = match self.leaving.load(Ordering::SeqCst) {
             true => "Server-Leaving: 1\r\n",
             false => "",
         };
         format!(
-            "HTTP/1.1 200 OK\r\nGoldcresttally-Attempt-Id: {attempt}\r\nGoldcresttally-Response-Signature: {id}.{attempt}\r\n{leaving}content-length: 4\r\n\r\ndone"
+            "HTTP/1.1 200 OK\r\nGoldcresttally-Attempt-Id: {attempt}\r\nGoldcresttally-Response-Signature: {id}.{attempt}\r\n{leaving}content-length: {length}\r\n\r\n{body}"
         )
     }
 }
+
+/// Writes the body of a document piece by piece, as it is made; returns whether all was written.
+fn write_document(stream: &mut TcpStream) -> bool {
+    let piece = [b'd'; DOCUMENT_PIECE];
+    for _ in 0..DOCUMENT_PIECES {
+        if stream.write_all(&piece).is_err() {
+            return false;
+        }
+        std::thread::sleep(DOCUMENT_PACE);
+    }
+    true
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod instance;
 mod json;
 mod leave;
+mod quiet_link;
 mod record;
 mod store;
 
@@ -41,6 +42,7 @@
     let outcome = match scenario.as_str() {
         "late-heartbeats" => leave::play(&record, Disruption::LateHeartbeats, trouble),
         "odd-heartbeat" => leave::play(&record, Disruption::OddHeartbeat, trouble),
+        "quiet-link" => quiet_link::play(&record, trouble),
         _ => Err(format!("unknown scenario {scenario}")),
     };
     match outcome {
