--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -140,8 +140,7 @@
         for (i, service) in services.iter().enumerate() {
             let ip = ip(i as u8 + 1);
             let settings = folder.join(format!("{ip}.yaml"));
-            let mut node =
-                Node { ip, service: (*service).to_owned(), base, settings, child: None };
+            let mut node = Node { ip, service: (*service).to_owned(), base, settings, child: None };
             let text = render(&template, &node, i, &store_address, &seeds.join(","))?;
             fs::write(&node.settings, text).map_err(|e| e.to_string())?;
             node.start()?;
@@ -190,9 +189,8 @@
         ("{{heartbeat-ms}}", HEARTBEAT.as_millis().to_string()),
         ("{{bounds|json}}", BOUNDS.to_owned()),
     ];
-    let text = fields.iter().fold(template.to_owned(), |text, (name, value)| {
-        text.replace(name, value)
-    });
+    let text =
+        fields.iter().fold(template.to_owned(), |text, (name, value)| text.replace(name, value));
     match text.contains("{{") {
         true => Err("the template has a field that this deployment does not know".to_owned()),
         false => Ok(text),
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -77,7 +77,8 @@
     let mut stream = TcpStream::connect_timeout(&to, limit.min(Duration::from_secs(1))).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
     let length = body.len();
-    let text = format!("{method} {path} HTTP/1.1\r\n{headers}content-length: {length}\r\n\r\n{body}");
+    let text =
+        format!("{method} {path} HTTP/1.1\r\n{headers}content-length: {length}\r\n\r\n{body}");
     stream.write_all(text.as_bytes()).ok()?;
     read(&mut BufReader::new(stream))
 }
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -46,11 +46,7 @@
 
 impl Instance {
     /// Starts the instance beside `node`.
-    pub fn start(
-        id: &str,
-        node: &Node,
-        record: &Arc<Record>,
-    ) -> Result<Arc<Self>, String> {
+    pub fn start(id: &str, node: &Node, record: &Arc<Record>) -> Result<Arc<Self>, String> {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| e.to_string())?;
         let instance = Arc::new(Self {
             id: id.to_owned(),
@@ -77,11 +73,13 @@
             }
         });
         let beating = Arc::clone(&instance);
-        std::thread::spawn(move || loop {
-            if beating.sends_heartbeats.load(Ordering::SeqCst) {
-                beating.send_heartbeat(beating.next_sequence());
+        std::thread::spawn(move || {
+            loop {
+                if beating.sends_heartbeats.load(Ordering::SeqCst) {
+                    beating.send_heartbeat(beating.next_sequence());
+                }
+                std::thread::sleep(HEARTBEAT);
             }
-            std::thread::sleep(HEARTBEAT);
         });
         Ok(instance)
     }
--- a/review/standin/leave.rs
+++ b/review/standin/leave.rs
@@ -111,7 +111,8 @@
         record.note(format_args!("BROKEN: {id} reached {} {after:.1} s after its ack", leaving.id));
     }
     let count = late.len();
-    record.note(format_args!("{served} requests served, {count} reached the instance that had left"));
+    record
+        .note(format_args!("{served} requests served, {count} reached the instance that had left"));
     if served < MIN_SERVED {
         return Err(format!("only {served} requests were served"));
     }
--- a/review/standin/quiet_link.rs
+++ b/review/standin/quiet_link.rs
@@ -66,7 +66,9 @@
         return Err(format!("only {passed_on} orders reached the instance"));
     }
     let cut = passed_on - whole;
-    record.note(format_args!("{passed_on} orders reached the instance, {cut} were not answered whole"));
+    record.note(format_args!(
+        "{passed_on} orders reached the instance, {cut} were not answered whole"
+    ));
     Ok(if cut > ALLOWED { Outcome::Broken } else { Outcome::Held })
 }
 
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -148,7 +148,9 @@
         Some(value) => format!(r#""value":"{value}""#),
         None => r#""removed":true"#.to_owned(),
     };
-    format!(r#"{{"table":"{table}","part":"{part}","key":"{key}","schema-version":{version},{value}}}"#)
+    format!(
+        r#"{{"table":"{table}","part":"{part}","key":"{key}","schema-version":{version},{value}}}"#
+    )
 }
 
 fn rows_json(rows: &[String], version: u64) -> String {
