--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/standin review/standin/main.rs
+rustc --edition 2024 -O -o target/review/standin review/standin/main.rs
--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -86,6 +86,20 @@
         }
     }
 
+    /// Waits until the process has ended, at most for `limit`; kills it then, as the platform does.
+    pub fn wait_until_ended(&mut self, limit: Duration) -> Result<(), String> {
+        let until = Instant::now() + limit;
+        let child = self.child.as_mut().ok_or("the node does not run")?;
+        while child.try_wait().map_err(|e| e.to_string())?.is_none() {
+            if Instant::now() > until {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        self.kill();
+        Ok(())
+    }
+
     /// Sends a signal to the process, by its name.
     pub fn signal(&self, name: &str) -> Result<(), String> {
         let id = self.child.as_ref().map_or(0, Child::id);
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -28,24 +28,27 @@
     }
 }
 
+/// Reads one message like [`read`], with a pause after each `part` bytes of its body.
+pub fn read_paced(
+    stream: &mut BufReader<TcpStream>,
+    part: usize,
+    pause: Duration,
+) -> Option<Message> {
+    let mut message = read_head(stream)?;
+    let length: usize = message.header("content-length").parse().ok()?;
+    while message.body.len() < length {
+        let mut bytes = vec![0; part.min(length - message.body.len())];
+        stream.read_exact(&mut bytes).ok()?;
+        message.body.extend_from_slice(&bytes);
+        std::thread::sleep(pause);
+    }
+    Some(message)
+}
+
 /// Reads one message; `None` when the connection ends or the message is cut off.
 pub fn read(stream: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut message = read_head(stream)?;
     let mut line = String::new();
-    if stream.read_line(&mut line).ok()? == 0 {
-        return None;
-    }
-    let start: Vec<String> = line.split_whitespace().map(str::to_owned).collect();
-    if start.len() < 2 {
-        return None;
-    }
-    let mut headers = Vec::new();
-    loop {
-        line.clear();
-        stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
-        let Some((name, value)) = line.trim_end().split_once(':') else { break };
-        headers.push((name.to_owned(), value.trim().to_owned()));
-    }
-    let mut message = Message { start, headers, body: Vec::new() };
     if message.header("transfer-encoding").contains("chunked") {
         loop {
             line.clear();
@@ -65,6 +68,25 @@
     Some(message)
 }
 
+fn read_head(stream: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut line = String::new();
+    if stream.read_line(&mut line).ok()? == 0 {
+        return None;
+    }
+    let start: Vec<String> = line.split_whitespace().map(str::to_owned).collect();
+    if start.len() < 2 {
+        return None;
+    }
+    let mut headers = Vec::new();
+    loop {
+        line.clear();
+        stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        headers.push((name.to_owned(), value.trim().to_owned()));
+    }
+    Some(Message { start, headers, body: Vec::new() })
+}
+
 /// Sends a request over a new connection and returns the response, if it arrives in time.
 pub fn call(
     to: SocketAddr,
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -16,13 +16,38 @@
 /// Time within which a heartbeat has to be acknowledged.
 const ACK_LIMIT: Duration = Duration::from_secs(1);
 
-/// Path prefix of requests that are answered with a document.
-const DOCUMENTS: &str = "/book/document/";
+/// An answer that is made piece by piece.
+struct Document {
+    piece: usize,
+    pieces: usize,
+    pace: Duration,
+}
 
-/// The size of a document, in pieces of bytes, and the time between them.
-const DOCUMENT_PIECE: usize = 10_000;
-const DOCUMENT_PIECES: usize = 30;
-const DOCUMENT_PACE: Duration = Duration::from_millis(100);
+impl Document {
+    /// Returns the document with which a request is answered, if any: 300 KB in 3 s below
+    /// `/book/document/`, 10 MB as fast as they are read below `/book/archive/`.
+    fn of(path: &str) -> Option<Self> {
+        if path.starts_with("/book/document/") {
+            Some(Self { piece: 10_000, pieces: 30, pace: Duration::from_millis(100) })
+        } else if path.starts_with("/book/archive/") {
+            Some(Self { piece: 60_000, pieces: 170, pace: Duration::ZERO })
+        } else {
+            None
+        }
+    }
+
+    /// Writes the body; returns whether all was written.
+    fn write(&self, stream: &mut TcpStream) -> bool {
+        let piece = vec![b'd'; self.piece];
+        for _ in 0..self.pieces {
+            if stream.write_all(&piece).is_err() {
+                return false;
+            }
+            std::thread::sleep(self.pace);
+        }
+        true
+    }
+}
 
 /// Returns the time that an instance works on a request; requests below `/book/long/` take long.
 fn work_of(path: &str) -> Duration {
@@ -146,7 +171,9 @@
             if ended || stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
-            if request.path().starts_with(DOCUMENTS) && !write_document(&mut stream) {
+            if let Some(document) = Document::of(request.path())
+                && !document.write(&mut stream)
+            {
                 return;
             }
         }
@@ -174,10 +201,8 @@
         while Instant::now() < until && !self.ended.load(Ordering::SeqCst) {
             std::thread::sleep(Duration::from_millis(10));
         }
-        let (length, body) = match request.path().starts_with(DOCUMENTS) {
-            true => (DOCUMENT_PIECE * DOCUMENT_PIECES, ""),
-            false => (4, "done"),
-        };
+        let document = Document::of(request.path());
+        let (length, body) = document.map_or((4, "done"), |d| (d.piece * d.pieces, ""));
         let leaving = match self.leaving.load(Ordering::SeqCst) {
             true => "Server-Leaving: 1\r\n",
             false => "",
@@ -187,15 +212,3 @@
         )
     }
 }
-
-/// Writes the body of a document piece by piece, as it is made; returns whether all was written.
-fn write_document(stream: &mut TcpStream) -> bool {
-    let piece = [b'd'; DOCUMENT_PIECE];
-    for _ in 0..DOCUMENT_PIECES {
-        if stream.write_all(&piece).is_err() {
-            return false;
-        }
-        std::thread::sleep(DOCUMENT_PACE);
-    }
-    true
-}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,13 +2,13 @@
 //!
 //! `standin SCENARIO RECORD`: exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 
+mod answers;
 mod client;
 mod deployment;
 mod http;
 mod instance;
 mod json;
 mod leave;
-mod quiet_link;
 mod record;
 mod store;
 
@@ -16,7 +16,6 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use leave::Disruption;
 use record::Record;
 
 /// What a scenario shows.
@@ -40,9 +39,10 @@
         }
     };
     let outcome = match scenario.as_str() {
-        "late-heartbeats" => leave::play(&record, Disruption::LateHeartbeats, trouble),
-        "odd-heartbeat" => leave::play(&record, Disruption::OddHeartbeat, trouble),
-        "quiet-link" => quiet_link::play(&record, trouble),
+        "late-heartbeats" => leave::play(&record, leave::Disruption::LateHeartbeats, trouble),
+        "odd-heartbeat" => leave::play(&record, leave::Disruption::OddHeartbeat, trouble),
+        "quiet-link" => answers::play(&record, answers::Disruption::Freeze, trouble),
+        "planned-stop" => answers::play(&record, answers::Disruption::PlannedStop, trouble),
         _ => Err(format!("unknown scenario {scenario}")),
     };
     match outcome {
