--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,6 @@
 //! Plays one scenario of the review against the project's nodes.
 //!
-//! `standin SCENARIO RECORD`: exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+//! `standin SCENARIO with|without RECORD`: exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 
 mod answers;
 mod client;
@@ -26,11 +26,18 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let [scenario, path] = args.as_slice() else {
-        eprintln!("usage: standin SCENARIO RECORD");
+    let [scenario, disruption, path] = args.as_slice() else {
+        eprintln!("usage: standin SCENARIO with|without RECORD");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = match disruption.as_str() {
+        "with" => true,
+        "without" => false,
+        other => {
+            eprintln!("{other}: must be with or without");
+            return ExitCode::from(2);
+        }
+    };
     let record = match Record::create(Path::new(path)) {
         Ok(record) => Arc::new(record),
         Err(e) => {
