A superseded node joins its tasks, so that the next one can bind its address

Cause: the control plane left tasks behind that had not ended within 200 ms. Without a thread of its own they went on and held the UDP socket of the address, for as long as a join request to a silent node waits.

Evidence: superseded_node.rs, requests_in_flight_do_not_keep_the_address_bound, failed before with 'Address already in use' at the second node; three nodes in a row start now. All tasks of the control plane are spawned through LocalTasks, which drops and joins what remains, so none can hold the socket.

On the same path: the successor of the largest generation was 0 (a panic in debug builds), so that a record that names it superseded a node without end; largest_generation_supersedes_a_node_once failed before.

--- a/goldcresttally-core/src/ids.rs
+++ b/goldcresttally-core/src/ids.rs
@@ -113,10 +113,10 @@
         pub struct $name(pub u64);
 
         impl $name {
-            /// Returns the number that follows this one.
+            /// Returns the number that follows this one; the largest one is its own successor.
             #[must_use]
             pub fn next(self) -> Self {
-                Self(self.0 + 1)
+                Self(self.0.saturating_add(1))
             }
         }
 
--- a/goldcresttallyd/src/control/claims.rs
+++ b/goldcresttallyd/src/control/claims.rs
@@ -61,7 +61,7 @@
             return self.queue_claim(write);
         }
         let control = Rc::clone(self);
-        self.tasks.spawn_local(async move {
+        self.tasks.spawn(async move {
             let outcome = match control.connections.claim(coordinator, &write).await {
                 Ok(outcome) => outcome,
                 // Nothing was sent, so this node may write the claim itself.
@@ -100,7 +100,7 @@
         let batch = self.machines.borrow_mut().claim_batcher.next_batch(self.now());
         if let Some(batch) = batch {
             let control = Rc::clone(self);
-            self.tasks.spawn_local(async move { control.write_claims(batch).await });
+            self.tasks.spawn(async move { control.write_claims(batch).await });
             return;
         }
         let due = self.machines.borrow().claim_batcher.due();
@@ -108,7 +108,7 @@
         if let Some(due) = due {
             let control = Rc::clone(self);
             let at = self.peer.state().clock.instant(due);
-            self.tasks.spawn_local(async move {
+            self.tasks.spawn(async move {
                 tokio::time::sleep_until(at).await;
                 let batch = control.machines.borrow_mut().claim_batcher.next_batch(control.now());
                 if let Some(batch) = batch {
--- a/goldcresttallyd/src/control/distribution.rs
+++ b/goldcresttallyd/src/control/distribution.rs
@@ -39,12 +39,12 @@
             Action::AbandonPoll => self.abandon_poll(),
             Action::Fetch { source, manifest, known } => {
                 let control = Rc::clone(self);
-                self.tasks.spawn_local(async move { control.fetch(source, manifest, known).await });
+                self.tasks.spawn(async move { control.fetch(source, manifest, known).await });
             }
             Action::Install(bundle) => self.install(&bundle),
             Action::Push { to, update } => {
                 let control = Rc::clone(self);
-                self.tasks.spawn_local(async move { control.push(to, update).await });
+                self.tasks.spawn(async move { control.push(to, update).await });
             }
             Action::Notify { to, notice } => self.notify(&to, notice),
             Action::Ready(version) => {
@@ -137,7 +137,7 @@
             progress: progress.clone(),
         };
         let control = Rc::clone(self);
-        let task = self.tasks.spawn_local(async move { control.poll(req).await }).abort_handle();
+        let task = self.tasks.spawn(async move { control.poll(req).await });
         *self.poll_task.borrow_mut() = Some(PollTask { task, progress, reported_bytes: 0 });
     }
 
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -17,13 +17,13 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
 
 use super::Config;
 use super::command::{Command, ControlStatus, Traffic};
 use super::connections::Connections;
 use super::distribution::PollTask;
-use crate::events;
+use super::tasks::LocalTasks;
+use crate::events::{self, emit};
 use crate::settings::Settings;
 
 /// Interval between ticks of the state machines, in milliseconds.
@@ -65,7 +65,7 @@
     pub directory_nodes: RefCell<Vec<NodeId>>,
     pub socket: UdpSocket,
     pub connections: Connections,
-    pub tasks: TaskTracker,
+    pub tasks: LocalTasks,
     pub stop: CancellationToken,
     pub traffic: Rc<Cell<Traffic>>,
     /// The parsed sections of the version in force.
@@ -133,7 +133,7 @@
             links: config.links,
             transport: config.transport,
             table: config.table,
-            tasks: TaskTracker::new(),
+            tasks: LocalTasks::default(),
             stop: CancellationToken::new(),
             traffic,
             section_cache: RefCell::default(),
@@ -152,7 +152,7 @@
 
     /// Runs the event loop until the node stops.
     pub async fn run(self: &Rc<Self>, mut commands: mpsc::Receiver<Command>) {
-        self.tasks.spawn_local(Rc::clone(self).maintain_directory());
+        self.tasks.spawn(Rc::clone(self).maintain_directory());
         let mut tick = tokio::time::interval(Duration::from_millis(TICK_INTERVAL_MS));
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut buf = vec![0; DATAGRAM_BUFFER_BYTES];
@@ -174,10 +174,13 @@
         self.on_membership(members::Event::Stopped);
         self.stop.cancel();
         self.connections.clear();
-        self.tasks.close();
-        let limit = Duration::from_millis(TASK_STOP_TIMEOUT_MS);
-        // Remaining tasks wait for the network; they are dropped with the thread's `LocalSet`.
-        let _ = tokio::time::timeout(limit, self.tasks.wait()).await;
+        // Later commands fail at once.
+        drop(commands);
+        // Tasks that remain wait for the network.
+        let dropped = self.tasks.join(Duration::from_millis(TASK_STOP_TIMEOUT_MS)).await;
+        if dropped > 0 {
+            emit(events::CONTROL_TASKS_DROPPED, format_args!("{dropped} tasks"));
+        }
     }
 
     /// Returns the current time of the node's clock.
--- a/goldcresttallyd/src/control/join.rs
+++ b/goldcresttallyd/src/control/join.rs
@@ -67,7 +67,7 @@
         }
         self.joining.set(true);
         let control = Rc::clone(self);
-        self.tasks.spawn_local(async move {
+        self.tasks.spawn(async move {
             let asked = seeds.len().min(MAX_CONCURRENT_JOINS);
             let failed = control.join_sample(seeds).await.len();
             if failed == asked {
@@ -281,7 +281,7 @@
     /// Starts a task that compares membership views with a member and exchanges differing records.
     pub(super) fn spawn_sync(self: &Rc<Self>, with: NodeId) {
         let control = Rc::clone(self);
-        self.tasks.spawn_local(async move {
+        self.tasks.spawn(async move {
             let hashes = control.machines.borrow().membership.bucket_hashes();
             // The failure detector handles unreachable members.
             let Ok(records) = control.connections.compare(with, &hashes).await else {
--- a/goldcresttallyd/src/control/membership.rs
+++ b/goldcresttallyd/src/control/membership.rs
@@ -114,7 +114,7 @@
             AnnounceOutcome::Unconfirmed => {
                 emit(events::ANNOUNCEMENT_UNCONFIRMED, format_args!("{details}"));
                 let control = Rc::clone(self);
-                self.tasks.spawn_local(async move { control.confirm_announcement(details).await });
+                self.tasks.spawn(async move { control.confirm_announcement(details).await });
             }
             AnnounceOutcome::Changed | AnnounceOutcome::Renewed => {}
         }
--- a/goldcresttallyd/src/control/mod.rs
+++ b/goldcresttallyd/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod publish;
 mod run;
 mod server;
+mod tasks;
 
 use std::io;
 use std::sync::Arc;
--- a/goldcresttallyd/src/control/run.rs
+++ b/goldcresttallyd/src/control/run.rs
@@ -36,7 +36,7 @@
     let run = async move {
         let control = Rc::new(Control::new(config, listeners.udp)?);
         let accept = server::accept(Rc::clone(&control), TcpListener::from_std(listeners.tcp)?);
-        control.tasks.spawn_local(accept);
+        control.tasks.spawn(accept);
         control.run(commands).await;
         std::io::Result::Ok(())
     };
--- a/goldcresttallyd/src/control/server.rs
+++ b/goldcresttallyd/src/control/server.rs
@@ -55,7 +55,7 @@
             continue;
         }
         let (open, serving) = (Rc::clone(&open), Rc::clone(&control));
-        control.tasks.spawn_local(async move {
+        control.tasks.spawn(async move {
             serve(serving, stream, from).await;
             drop(open);
         });
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -42,6 +42,7 @@
     PROCESS_RESUMED = 1007 Warn "process was paused";
     SETTINGS_RELOADED = 1008 Info "settings reloaded";
     SETTINGS_REFUSED = 1009 Warn "settings not reloaded";
+    CONTROL_TASKS_DROPPED = 1010 Info "control tasks that had not ended in time were dropped";
     JOINED = 1101 Info "joined the members";
     JOIN_FAILED = 1102 Warn "could not join";
     ISOLATED = 1103 Warn "lost sight of most members: keeping known endpoints";
