Only an upstream itself confirms that it is still in service

Cause: a second announcement with a higher sequence number counted as proof that the process runs. Any number of announcements may have been sent before it left.

Why this works: the health path is asked after the announcement arrived, and the process that answers knows whether it leaves; so the answer cannot be older than the withdrawal. A busy or silent process is asked three times for each announcement.

Same cause elsewhere: start times are compared with a tolerance for stepped clocks (10 s); a process without a start time, and a later one of a name that has left, must be confirmed; draining outlives a lapsed lease; a deregistration without a start time ends what is known.

--- a/goldcresttally-membership/src/registry.rs
+++ b/goldcresttally-membership/src/registry.rs
@@ -12,6 +12,10 @@
 /// Default duration of a lease, in milliseconds.
 pub const LEASE_MS: u64 = 3000;
 
+/// Time by which a clock may be wrong or stepped, in milliseconds. A process that started later than
+/// a node by less than this may be older than the node.
+const CLOCK_TOLERANCE_MS: u64 = 10_000;
+
 /// Maximum number of ended processes remembered; covers a quarter of an hour on a VM with a
 /// restart about every ten seconds.
 const MAX_ENDED_PROCESSES: usize = 100;
@@ -67,8 +71,8 @@
     Changed,
     /// The lease was renewed.
     Renewed,
-    /// It is the first announcement of a process that is older than this node, and may have been
-    /// delayed until after that process ended. It takes effect once it is confirmed or repeated.
+    /// It is the first announcement of a process that may be older than this node, and may have
+    /// been delayed until after that process ended. It takes effect once the process confirms it.
     Unconfirmed,
     /// It is out of date: a later announcement, a later process or the end of the process is known.
     Stale,
@@ -85,6 +89,22 @@
 struct LatestProcess {
     process: UpstreamProcess,
     withdrawn: bool,
+    /// Whether it has been draining. A process does not become ready again.
+    draining: bool,
+}
+
+/// An announcement that waits for confirmation.
+#[derive(Debug)]
+struct Unconfirmed {
+    announcement: Announcement,
+    /// Whether the process is being asked.
+    checking: bool,
+}
+
+impl Unconfirmed {
+    fn is_of(&self, process: &UpstreamProcess) -> bool {
+        self.announcement.process.as_ref().is_some_and(|p| p.is_same(process))
+    }
 }
 
 /// The upstreams attached to this node.
@@ -92,6 +112,10 @@
 /// A draining upstream cannot become ready again under the same lease, because a delayed
 /// announcement must not undo the drain. If upstreams report their process, a delayed
 /// announcement cannot undo a withdrawal or replace a later process either.
+///
+/// What an upstream said to an earlier process of this node is not known here, and announcements
+/// may arrive in any number and at any time after the upstream has left. So only the upstream itself
+/// can confirm that a process which this node may have replaced a record of is still in service.
 #[derive(Debug)]
 pub struct Registry {
     lease: Duration,
@@ -100,7 +124,7 @@
     /// Processes with a lower generation need confirmation; 0 disables the check.
     confirm_before: Generation,
     /// Announcements that wait for confirmation, by address.
-    unconfirmed: Map<SocketAddr, Announcement>,
+    unconfirmed: Map<SocketAddr, Unconfirmed>,
     /// Processes that have ended, latest last. Includes unknown processes: a recently started node
     /// may learn of an end before it receives an earlier announcement of the same process.
     ended: VecDeque<(InstanceId, Generation)>,
@@ -125,31 +149,57 @@
         }
     }
 
-    /// Requires that the first announcement of a process be confirmed if its generation is lower
-    /// than `started`.
+    /// Requires that the first announcement of a process be confirmed if the process may have
+    /// started before `started`, by clocks that may be wrong.
     pub fn require_confirmation_before(&mut self, started: Generation) {
-        self.confirm_before = started;
+        self.confirm_before = Generation(started.0.saturating_add(CLOCK_TOLERANCE_MS));
     }
 
     /// Grants or renews a lease.
     pub fn announce(&mut self, now: MonoTime, announcement: Announcement) -> AnnounceOutcome {
-        if let Some(process) = &announcement.process {
-            if self.has_ended(process) {
-                return AnnounceOutcome::Stale;
-            }
-            if self.needs_confirmation(&announcement, process) {
-                self.unconfirmed.insert(announcement.address, announcement);
-                return AnnounceOutcome::Unconfirmed;
-            }
-            self.unconfirmed.remove(&announcement.address);
-            match self.compare_process(announcement.address, process) {
-                ProcessOrder::Stale => return AnnounceOutcome::Stale,
-                ProcessOrder::Same => {}
-                // Leases of an earlier process do not apply to this one.
-                ProcessOrder::Later => self.leases.retain(|(_, at), _| *at != announcement.address),
-            }
-            let latest = LatestProcess { process: process.clone(), withdrawn: false };
-            self.latest.insert(announcement.address, latest);
+        let Some(process) = &announcement.process else { return self.renew(now, announcement) };
+        if self.has_ended(process) {
+            return AnnounceOutcome::Stale;
+        }
+        if self.needs_confirmation(&announcement, process) {
+            self.await_confirmation(announcement);
+            return AnnounceOutcome::Unconfirmed;
+        }
+        self.unconfirmed.remove(&announcement.address);
+        self.accept(now, announcement)
+    }
+
+    /// Keeps the latest announcement of the process that is to confirm it.
+    fn await_confirmation(&mut self, announcement: Announcement) {
+        let Some(process) = &announcement.process else { return };
+        let waiting = self.unconfirmed.get_mut(&announcement.address).filter(|w| w.is_of(process));
+        let Some(waiting) = waiting else {
+            let waiting = Unconfirmed { announcement, checking: false };
+            self.unconfirmed.insert(waiting.announcement.address, waiting);
+            return;
+        };
+        let latest = waiting.announcement.process.as_ref();
+        if latest.is_none_or(|latest| latest.sequence < process.sequence) {
+            waiting.announcement = announcement;
+        }
+    }
+
+    /// Grants or renews the lease of a process that needs no confirmation, unless the announcement
+    /// is out of date.
+    fn accept(&mut self, now: MonoTime, mut announcement: Announcement) -> AnnounceOutcome {
+        let Some(process) = &announcement.process else { return self.renew(now, announcement) };
+        let address = announcement.address;
+        let mut draining = announcement.state == UpstreamState::Draining;
+        match self.compare_process(address, process) {
+            ProcessOrder::Stale => return AnnounceOutcome::Stale,
+            ProcessOrder::Same => draining |= self.latest.get(&address).is_some_and(|l| l.draining),
+            // Leases of an earlier process do not apply to this one.
+            ProcessOrder::Later => self.leases.retain(|(_, at), _| *at != address),
+        }
+        let latest = LatestProcess { process: process.clone(), withdrawn: false, draining };
+        self.latest.insert(address, latest);
+        if draining {
+            announcement.state = UpstreamState::Draining;
         }
         self.renew(now, announcement)
     }
@@ -171,30 +221,54 @@
         AnnounceOutcome::Changed
     }
 
-    /// Applies the unconfirmed announcement of `instance`, which the process has confirmed since;
-    /// returns whether that changed the upstreams.
-    pub fn confirm(&mut self, now: MonoTime, address: SocketAddr, instance: &InstanceId) -> bool {
-        let is_instance =
-            |a: &Announcement| a.process.as_ref().is_some_and(|p| p.instance == *instance);
-        if !self.unconfirmed.get(&address).is_some_and(is_instance) {
+    /// Returns whether the process at `address` is to be asked for confirmation now, and marks it as
+    /// being asked.
+    pub fn begin_confirmation(&mut self, address: SocketAddr, process: &UpstreamProcess) -> bool {
+        let waiting = self.unconfirmed.get_mut(&address).filter(|w| w.is_of(process));
+        waiting.is_some_and(|w| !std::mem::replace(&mut w.checking, true))
+    }
+
+    /// Returns whether an announcement of the process still waits for confirmation.
+    pub fn awaits_confirmation(&self, address: SocketAddr, process: &UpstreamProcess) -> bool {
+        self.unconfirmed.get(&address).is_some_and(|w| w.is_of(process))
+    }
+
+    /// Applies the unconfirmed announcement of a process that has confirmed it; returns whether that
+    /// changed the upstreams.
+    pub fn confirm(
+        &mut self,
+        now: MonoTime,
+        address: SocketAddr,
+        process: &UpstreamProcess,
+    ) -> bool {
+        if !self.awaits_confirmation(address, process) {
             return false;
         }
-        let Some(announcement) = self.unconfirmed.remove(&address) else { return false };
-        let process = announcement.process.clone();
-        let latest = process.map(|process| LatestProcess { process, withdrawn: false });
-        self.latest.extend(latest.map(|latest| (address, latest)));
-        self.renew(now, announcement) == AnnounceOutcome::Changed
+        let Some(waiting) = self.unconfirmed.remove(&address) else { return false };
+        self.accept(now, waiting.announcement) == AnnounceOutcome::Changed
+    }
+
+    /// Forgets the unconfirmed announcement of a process that has not confirmed it; the next one is
+    /// checked anew.
+    pub fn abandon_confirmation(&mut self, address: SocketAddr, process: &UpstreamProcess) {
+        if self.awaits_confirmation(address, process) {
+            self.unconfirmed.remove(&address);
+        }
     }
 
     fn needs_confirmation(&self, announcement: &Announcement, process: &UpstreamProcess) -> bool {
-        let known =
-            self.latest.get(&announcement.address).is_some_and(|l| l.process.is_same(process));
-        let older = process.generation > Generation(0) && process.generation < self.confirm_before;
-        let draining = announcement.state == UpstreamState::Draining;
-        let repeated = self.unconfirmed.get(&announcement.address).and_then(|a| a.process.as_ref());
-        let repeated =
-            repeated.is_some_and(|p| p.is_same(process) && p.sequence < process.sequence);
-        !known && older && !draining && !repeated
+        if self.confirm_before == Generation(0) || announcement.state == UpstreamState::Draining {
+            return false;
+        }
+        let latest = self.latest.get(&announcement.address).map(|l| &l.process);
+        if latest.is_some_and(|p| p.is_same(process)) {
+            return false;
+        }
+        // Nothing but the start time distinguishes a later process of the same name from a malformed
+        // announcement of one that has ended.
+        let has_known_name = latest.is_some_and(|p| p.instance == process.instance)
+            || self.ended.iter().any(|(instance, _)| *instance == process.instance);
+        has_known_name || process.generation < self.confirm_before
     }
 
     fn has_ended(&self, process: &UpstreamProcess) -> bool {
@@ -223,6 +297,9 @@
     pub fn drain(&mut self, service: &ServiceName, address: SocketAddr) -> bool {
         let Some(lease) = self.leases.get_mut(&(service.clone(), address)) else { return false };
         let previous = std::mem::replace(&mut lease.announcement.state, UpstreamState::Draining);
+        if let Some(latest) = self.latest.get_mut(&address) {
+            latest.draining = true;
+        }
         previous != UpstreamState::Draining
     }
 
@@ -233,21 +310,19 @@
 
     /// Ends the lease of the process `instance`; returns the removed upstream, if any.
     ///
-    /// `generation` is that of the process, if known: the end of an earlier process with the same
-    /// name does not affect a later one.
+    /// `generation` is that of the process: the end of an earlier process with the same name does
+    /// not affect a later one.
     pub fn withdraw_process(
         &mut self,
         instance: &InstanceId,
-        generation: Option<Generation>,
+        generation: Generation,
     ) -> Option<Announcement> {
-        let ends = |p: &UpstreamProcess| {
-            p.instance == *instance && generation.is_none_or(|g| g >= p.generation)
-        };
-        self.ended.push_back((instance.clone(), generation.unwrap_or(Generation(0))));
+        let ends = |p: &UpstreamProcess| p.instance == *instance && p.generation <= generation;
+        self.ended.push_back((instance.clone(), generation));
         if self.ended.len() > MAX_ENDED_PROCESSES {
             self.ended.pop_front();
         }
-        self.unconfirmed.retain(|_, a| !a.process.as_ref().is_some_and(ends));
+        self.unconfirmed.retain(|_, w| !w.announcement.process.as_ref().is_some_and(ends));
         for latest in self.latest.values_mut().filter(|l| ends(&l.process)) {
             latest.withdrawn = true;
         }
@@ -257,6 +332,14 @@
         Some(removed)
     }
 
+    /// Returns the generation of the latest known process named `instance`; 0 if there is none.
+    pub fn generation_of(&self, instance: &InstanceId) -> Generation {
+        let waiting = self.unconfirmed.values().filter_map(|w| w.announcement.process.as_ref());
+        let known = self.latest.values().map(|l| &l.process).chain(waiting);
+        let named = known.filter(|p| p.instance == *instance).map(|p| p.generation);
+        named.max().unwrap_or_default()
+    }
+
     /// Removes expired leases; returns the removed upstreams.
     pub fn expire(&mut self, now: MonoTime) -> Vec<Announcement> {
         let mut removed = Vec::new();
--- a/goldcresttally-proxy/src/peer/health.rs
+++ b/goldcresttally-proxy/src/peer/health.rs
@@ -12,22 +12,34 @@
 use crate::body::full;
 use crate::headers;
 
-/// Time limit for a health check, in milliseconds: the upstream may have to finish a call first. If
-/// it does not respond in time, its next announcement decides.
+/// Time limit for a health check, in milliseconds: the upstream may have to finish a call first.
 const HEALTH_TIMEOUT_MS: u64 = 1000;
 
+/// What an upstream's process says about itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It accepts calls.
+    Serving,
+    /// It accepts no calls, or another process has its address.
+    NotServing,
+    /// It did not answer in time, or was too busy to answer.
+    Unknown,
+    /// Its service has no health path, so that it cannot be asked.
+    NotConfigured,
+}
+
 impl Peer {
-    /// Returns whether the process `instance` at `address` reports that it accepts calls; false if
-    /// it cannot be reached or its service has no health path.
-    pub async fn is_healthy(
+    /// Asks the process `instance` at `address` whether it accepts calls.
+    pub async fn check_health(
         &self,
         service: &ServiceName,
         address: SocketAddr,
         instance: &InstanceId,
-    ) -> bool {
+    ) -> Health {
         let config = self.state.active_config();
-        let path = config.snapshot.service(service).and_then(|s| s.health_path.clone());
-        let Some(path) = path.and_then(|path| path.parse().ok()) else { return false };
+        let Some(service) = config.snapshot.service(service) else { return Health::Unknown };
+        let path = service.health_path.clone().and_then(|path| path.parse().ok());
+        let Some(path) = path else { return Health::NotConfigured };
         let mut req = Request::new(full(""));
         *req.uri_mut() = path;
         headers::set(req.headers_mut(), HOST, &address);
@@ -35,11 +47,19 @@
         let limit = Duration::from_millis(HEALTH_TIMEOUT_MS);
         let check = pool.send(&*self.transport, &self.tasks, req, ConnectionChoice::New);
         let Ok(Ok((response, _connection))) = tokio::time::timeout(limit, check).await else {
-            return false;
+            return Health::Unknown;
         };
-        let name = self.state.conventions.health_instance.as_ref();
-        let named: Option<InstanceId> =
-            name.and_then(|name| headers::parse(response.headers(), name));
-        response.status() == StatusCode::OK && named.is_none_or(|named| named == *instance)
+        let map = response.headers();
+        let conventions = &self.state.conventions;
+        let name = conventions.health_instance.as_ref();
+        let named: Option<InstanceId> = name.and_then(|name| headers::parse(map, name));
+        if named.is_some_and(|named| named != *instance) || conventions.names_leaving(map) {
+            return Health::NotServing;
+        }
+        match response.status() {
+            StatusCode::OK => Health::Serving,
+            _ if map.contains_key(&conventions.not_run) => Health::Unknown,
+            _ => Health::NotServing,
+        }
     }
 }
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -30,6 +30,7 @@
 use crate::transport::Transport;
 use attempt_info::AttemptInfo;
 use attempts::AttemptLedger;
+pub use health::Health;
 pub use limiter::Limiter;
 use spawn_on_drop::SpawnOnDrop;
 use transfers::{ArrivingBody, TransferQueue};
--- a/goldcresttallyd/src/control/membership.rs
+++ b/goldcresttallyd/src/control/membership.rs
@@ -7,8 +7,11 @@
 
 use goldcresttally_core::{Deadline, Generation, InstanceId, NodeId, ServiceName, Version};
 use goldcresttally_distribution as distribution;
-use goldcresttally_membership::{Action, AnnounceOutcome, Announcement, Event, Message, Status};
+use goldcresttally_membership::{
+    Action, AnnounceOutcome, Announcement, Event, Message, Status, UpstreamProcess,
+};
 use goldcresttally_proxy::clock;
+use goldcresttally_proxy::peer::Health;
 use goldcresttally_wire::datagram;
 
 use super::command::{LaggingNode, Rollout};
@@ -19,12 +22,17 @@
 const MAX_VERSION_QUERIES: usize = 400;
 
 /// Maximum wait for a configuration before an upstream is asked for confirmation, in milliseconds.
-/// This is the interval of announcements: the next announcement confirms the upstream too.
 const CONFIG_WAIT_TIMEOUT_MS: u64 = 1500;
 
 /// Interval at which the configuration is polled for during that wait, in milliseconds.
 const CONFIG_CHECK_INTERVAL_MS: u64 = 20;
 
+/// Number of times that an upstream which does not answer is asked for each announcement.
+const MAX_HEALTH_CHECKS: u32 = 3;
+
+/// Delay before an upstream that did not answer is asked again, in milliseconds.
+const HEALTH_RETRY_MS: u64 = 200;
+
 /// Logs that a record in a message was left out.
 pub(super) fn entry_skipped(error: &goldcresttally_wire::Error) {
     emit(events::ENTRIES_SKIPPED, format_args!("list=members first=\"{error}\""));
@@ -113,47 +121,87 @@
             AnnounceOutcome::Stale => emit(events::ANNOUNCEMENT_STALE, format_args!("{details}")),
             AnnounceOutcome::Unconfirmed => {
                 emit(events::ANNOUNCEMENT_UNCONFIRMED, format_args!("{details}"));
-                let control = Rc::clone(self);
-                self.tasks.spawn(async move { control.confirm_announcement(details).await });
+                self.spawn_confirmation(details);
             }
             AnnounceOutcome::Changed | AnnounceOutcome::Renewed => {}
         }
         outcome
     }
 
-    /// Asks an upstream's process that is older than this node whether its first announcement still
-    /// holds.
-    async fn confirm_announcement(self: Rc<Self>, announcement: Announcement) {
-        let Announcement { service, address, process: Some(process), .. } = &announcement else {
+    /// Starts to ask an upstream's process that may be older than this node whether its announcement
+    /// still holds, unless it is being asked already.
+    fn spawn_confirmation(self: &Rc<Self>, announcement: Announcement) {
+        let (address, Some(process)) = (announcement.address, announcement.process) else { return };
+        if !self.machines.borrow_mut().registry.begin_confirmation(address, &process) {
             return;
-        };
+        }
+        let control = Rc::clone(self);
+        self.tasks.spawn(async move {
+            control.confirm_announcement(announcement.service, address, process).await;
+        });
+    }
+
+    async fn confirm_announcement(
+        self: Rc<Self>,
+        service: ServiceName,
+        address: SocketAddr,
+        process: UpstreamProcess,
+    ) {
         // The configuration says how to ask; a recently started node may not have one yet.
         let deadline = Deadline::after(self.now(), Duration::from_millis(CONFIG_WAIT_TIMEOUT_MS));
         while !self.peer.state().is_ready() && !deadline.is_past(self.now()) {
             tokio::time::sleep(Duration::from_millis(CONFIG_CHECK_INTERVAL_MS)).await;
         }
-        if !self.peer.is_healthy(service, *address, &process.instance).await {
-            return;
-        }
+        let UpstreamProcess { instance, generation, .. } = &process;
+        let confirmed = self.ask_upstream(&service, address, &process).await;
         let now = self.now();
-        if self.machines.borrow_mut().registry.confirm(now, *address, &process.instance) {
-            emit(
-                events::UPSTREAM_ANNOUNCED,
-                format_args!("{announcement}, confirmed by the upstream"),
-            );
+        let mut machines = self.machines.borrow_mut();
+        if !confirmed {
+            return machines.registry.abandon_confirmation(address, &process);
+        }
+        let changed = machines.registry.confirm(now, address, &process);
+        drop(machines);
+        if changed {
+            let details = format_args!("{service} at {address} instance={instance}/{generation}");
+            emit(events::UPSTREAM_ANNOUNCED, format_args!("{details}, confirmed by the upstream"));
             self.publish_upstreams();
         }
     }
 
+    /// Returns whether an upstream's process says that it accepts calls.
+    async fn ask_upstream(
+        &self,
+        service: &ServiceName,
+        address: SocketAddr,
+        process: &UpstreamProcess,
+    ) -> bool {
+        for _ in 0..MAX_HEALTH_CHECKS {
+            match self.peer.check_health(service, address, &process.instance).await {
+                Health::Serving | Health::NotConfigured => return true,
+                Health::NotServing => return false,
+                Health::Unknown => tokio::time::sleep(Duration::from_millis(HEALTH_RETRY_MS)).await,
+            }
+            if !self.machines.borrow().registry.awaits_confirmation(address, process) {
+                return false;
+            }
+        }
+        false
+    }
+
     pub(super) fn on_withdraw_process(
         self: &Rc<Self>,
         instance: &InstanceId,
         generation: Option<Generation>,
     ) -> bool {
-        // Without a generation, all processes started up to now are withdrawn.
-        let generation = generation.unwrap_or_else(|| Generation(clock::wall_ms()));
-        let withdrawn =
-            self.machines.borrow_mut().registry.withdraw_process(instance, Some(generation));
+        let withdrawn = {
+            let registry = &mut self.machines.borrow_mut().registry;
+            // Without a generation, all processes started up to now are withdrawn. The clock may have
+            // been stepped back since one of them started.
+            let latest = || registry.generation_of(instance).max(Generation(clock::wall_ms()));
+            let generation = generation.unwrap_or_else(latest);
+            (registry.withdraw_process(instance, generation), generation)
+        };
+        let (withdrawn, generation) = withdrawn;
         let process = format!("instance={instance}/{generation}");
         let upstream = withdrawn.as_ref().map_or_else(
             || "unknown upstream".to_owned(),
