Limit what an upstream may send without progress of its answer

Operators of other systems reported an instance that sent bytes without end, in a head or a body, until its caller ran out of memory. Here, memory held, but endless interim responses kept a node from answering anybody: requests to another service on the same machine had no answer within 8 s.

Cause: the HTTP library reads interim responses in a loop that does not yield for up to 50 MB.

Why this works: reads fail after 256 KiB without a complete head or further data, so no loop runs longer. Reads are at most 64 KiB, which also bounds heads and what waits for slow callers. Settled answers are read up to the size that ledgers keep.

--- a/goldcresttally-proxy/src/entry/settle.rs
+++ b/goldcresttally-proxy/src/entry/settle.rs
@@ -6,11 +6,10 @@
 use goldcresttally_core::Deadline;
 use goldcresttally_ledger::{Answer, Settlement};
 use http::{Request, Response};
-use http_body_util::BodyExt;
 
 use super::Entry;
 use super::call::{Attempt, Call};
-use crate::body::{CallBody, full};
+use crate::body::{CallBody, full, read_up_to_limit};
 use crate::errors::{CallError, Reason};
 use crate::headers;
 use crate::link::LinkError;
@@ -107,7 +106,10 @@
             Some("not-run") => Ok(Settlement::NotRun),
             Some("running") => Ok(Settlement::Running),
             Some("done") if parts.headers.contains_key(headers::ANSWER) => {
-                let body = body.collect().await.or(Err(LinkError::Lost))?.to_bytes();
+                // The ledger keeps no larger answers than are read here.
+                let Ok((body, None)) = read_up_to_limit(body).await else {
+                    return Err(LinkError::Lost);
+                };
                 headers::strip_internal(&mut parts.headers);
                 let (status, headers) = (parts.status, parts.headers);
                 Ok(Settlement::Done(Some(Answer { status, headers, body })))
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod health;
 mod limiter;
+mod read_budget;
 mod reserve;
 mod run;
 mod settle;
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -11,12 +11,13 @@
 use http::request::Parts;
 use http::{Method, Response};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use tokio::sync::{mpsc, oneshot};
 
 use super::attempt_info::AttemptInfo;
 use super::attempts::Cancellation;
 use super::limiter::{Limiter, Permit};
+use super::read_budget::UpstreamBody;
 use super::upstream::{Connection, ConnectionChoice, UpstreamError};
 use super::upstream_messages::{
     ResponseKind, SentRequest, is_large, is_overload, prepare_response_headers, upstream_request,
@@ -152,7 +153,7 @@
         permit: &mut Permit<'_>,
         sent_request: SentRequest,
         kind: ResponseKind,
-        response: Response<Incoming>,
+        response: Response<UpstreamBody>,
         connection: Connection,
     ) -> Option<Connection> {
         match kind {
@@ -179,7 +180,7 @@
         &mut self,
         permit: &mut Permit<'_>,
         method: &Method,
-        response: Response<Incoming>,
+        response: Response<UpstreamBody>,
         connection: Connection,
     ) -> Option<Connection> {
         let (mut parts, body) = response.into_parts();
@@ -201,7 +202,7 @@
 
     /// Buffers a small response, stores it in the ledger and forwards it. A response that turns out
     /// to be large is streamed. Returns whether the response was forwarded completely.
-    async fn forward_buffered(&mut self, response: Response<Incoming>) -> bool {
+    async fn forward_buffered(&mut self, response: Response<UpstreamBody>) -> bool {
         let (parts, body) = response.into_parts();
         let limit = self.peer.state.clock.instant(self.info.deadline);
         let read = tokio::select! {
@@ -235,7 +236,7 @@
 
     /// Streams a large response until its end, the deadline, a cancellation or a disconnect of the
     /// entry. A truncated response is passed on as truncated. Returns whether it was complete.
-    async fn forward_streamed(&mut self, response: Response<Incoming>, start: Bytes) -> bool {
+    async fn forward_streamed(&mut self, response: Response<UpstreamBody>, start: Bytes) -> bool {
         let (parts, body) = response.into_parts();
         let (tx, rx) = mpsc::channel(MAX_BUFFERED_CHUNKS);
         self.send(Response::from_parts(parts, boxed(StreamBody::new(frames(rx)))));
@@ -308,7 +309,7 @@
 }
 
 /// Forwards the chunks of a response; returns whether all of it arrived and was taken.
-async fn forward_chunks(start: Bytes, mut body: Incoming, tx: &mpsc::Sender<Chunk>) -> bool {
+async fn forward_chunks(start: Bytes, mut body: UpstreamBody, tx: &mpsc::Sender<Chunk>) -> bool {
     let mut data = start;
     loop {
         if tx.send(Chunk::Data(data)).await.is_err() {
--- a/goldcresttally-proxy/src/peer/upstream.rs
+++ b/goldcresttally-proxy/src/peer/upstream.rs
@@ -6,12 +6,12 @@
 
 use goldcresttally_core::MonoTime;
 use http::{Request, Response};
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
 
+use super::read_budget::{BudgetedStream, ReadBudget, UpstreamBody};
 use crate::body::CallBody;
 use crate::clock::Clock;
 use crate::transport::Transport;
@@ -33,6 +33,10 @@
 /// Maximum idle connections per worker list.
 const MAX_IDLE_CONNECTIONS: usize = 128;
 
+/// Maximum size of a connection's read buffer, in bytes; also limits the heads of answers and the parts
+/// in which large answers are passed on.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// How a request to an upstream failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum UpstreamError {
@@ -48,12 +52,29 @@
 pub(super) struct Connection {
     sender: SendRequest<CallBody>,
     task: AbortHandle,
+    budget: ReadBudget,
     idle_since: MonoTime,
     /// Whether it carried an earlier call.
     kept: bool,
 }
 
 impl Connection {
+    /// Sends a request and waits for the head of the answer; returns the request if nothing of it was
+    /// sent.
+    async fn send(
+        &mut self,
+        req: Request<CallBody>,
+    ) -> Result<Response<UpstreamBody>, Option<Request<CallBody>>> {
+        self.budget.renew();
+        match self.sender.try_send_request(req).await {
+            Ok(response) => {
+                self.budget.renew();
+                Ok(response.map(|body| UpstreamBody::new(body, self.budget.clone())))
+            }
+            Err(mut error) => Err(error.take_message()),
+        }
+    }
+
     /// Returns whether the connection carried an earlier call.
     pub fn is_kept(&self) -> bool {
         self.kept
@@ -102,26 +123,22 @@
         tasks: &TaskTracker,
         mut req: Request<CallBody>,
         choice: ConnectionChoice,
-    ) -> Result<(Response<Incoming>, Connection), UpstreamError> {
+    ) -> Result<(Response<UpstreamBody>, Connection), UpstreamError> {
         while choice == ConnectionChoice::Any
             && let Some(mut connection) = self.take_idle()
         {
-            match connection.sender.try_send_request(req).await {
+            match connection.send(req).await {
                 Ok(response) => return Ok((response, connection)),
-                Err(mut error) => match error.take_message() {
-                    // The upstream had closed the idle connection, and nothing was sent on it.
-                    Some(unsent) => req = unsent,
-                    None => return Err(UpstreamError::Lost),
-                },
+                // The upstream had closed the idle connection, and nothing was sent on it.
+                Err(Some(unsent)) => req = unsent,
+                Err(None) => return Err(UpstreamError::Lost),
             }
         }
         let mut connection = self.connect(transport, tasks).await?;
-        match connection.sender.try_send_request(req).await {
+        match connection.send(req).await {
             Ok(response) => Ok((response, connection)),
-            Err(mut error) => match error.take_message() {
-                Some(_) => Err(UpstreamError::NotSent),
-                None => Err(UpstreamError::Lost),
-            },
+            Err(Some(_)) => Err(UpstreamError::NotSent),
+            Err(None) => Err(UpstreamError::Lost),
         }
     }
 
@@ -162,11 +179,16 @@
         let Ok(Ok(stream)) = stream else {
             return Err(UpstreamError::NotSent);
         };
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let budget = ReadBudget::new();
+        let stream = BudgetedStream::new(stream, budget.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let Ok((sender, connection)) = handshake else {
             return Err(UpstreamError::NotSent);
         };
         let task = tasks.spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Connection { sender, task, idle_since: self.clock.now(), kept: false })
+        Ok(Connection { sender, task, budget, idle_since: self.clock.now(), kept: false })
     }
 }
--- a/goldcresttally-proxy/src/peer/upstream_messages.rs
+++ b/goldcresttally-proxy/src/peer/upstream_messages.rs
@@ -4,10 +4,10 @@
 use http::header::{ACCEPT_ENCODING, CONTENT_ENCODING};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use hyper::body::Incoming;
 
 use super::Peer;
 use super::attempt_info::AttemptInfo;
+use super::read_budget::UpstreamBody;
 use crate::body::{CallBody, MAX_BUFFERED_BODY_BYTES};
 use crate::conventions::Conventions;
 use crate::headers;
@@ -89,7 +89,7 @@
     /// earlier calls.
     pub fn classify(
         &self,
-        response: &Response<Incoming>,
+        response: &Response<UpstreamBody>,
         conventions: &Conventions,
         kept: bool,
     ) -> ResponseKind {
@@ -127,7 +127,7 @@
 }
 
 /// Returns whether the end of the response can be distinguished from a broken connection.
-fn is_delimited(method: &Method, response: &Response<Incoming>) -> bool {
+fn is_delimited(method: &Method, response: &Response<UpstreamBody>) -> bool {
     let bodiless = matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     bodiless || method == Method::HEAD || headers::has_framing(response.headers())
 }
