A planned stop delivers what slow readers have not taken yet

Cause, in three parts: connections had one second once the last part of an answer was queued; the callers needed longer than a stop may last; and a link that was closed with frames unread was reset by the kernel, which drops what it has not delivered.

Why this works: connections end when nothing is left to deliver, at most at the drain deadline and flush_ms; those on which a client is about to send do not delay a stop. A finished connection is read until the client closes it.

--- a/goldcresttally-proxy/src/activity.rs
+++ b/goldcresttally-proxy/src/activity.rs
@@ -97,6 +97,14 @@
         (Self { inner: Some(inner), activity: Arc::clone(&activity), returned: None }, activity)
     }
 
+    /// Observes `inner` like [`Self::new`]; the receiver gets it back when the stream is dropped.
+    pub fn returning(inner: S) -> (Self, Arc<Activity>, oneshot::Receiver<S>) {
+        let (mut stream, activity) = Self::new(inner);
+        let (tx, rx) = oneshot::channel();
+        stream.returned = Some(tx);
+        (stream, activity, rx)
+    }
+
     fn on_write(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.activity.write_blocked.store(poll.is_pending(), Ordering::Relaxed);
         poll
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -189,6 +189,7 @@
         if length.is_none_or(|n| n > MAX_BUFFERED_BODY_BYTES) {
             let limit = self.entry.state.clock.instant(self.verdict_deadline());
             let body = boxed(BodyWithDeadline::new(body, limit));
+            let body = self.entry.read_ahead.wrap(body, &self.entry.tasks);
             let body = boxed(BodyWithGuard::new(body, in_flight));
             return Ok(Response::from_parts(parts, body));
         }
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod feedback;
 mod hedging;
 mod keyed;
+mod read_ahead;
 mod reserve;
 mod settle;
 
@@ -31,6 +32,7 @@
 use crate::state::NodeState;
 use attempt::ServedBy;
 use call::Call;
+use read_ahead::ReadAhead;
 
 /// Default `Retry-After` when the configuration or all endpoints are missing, in milliseconds:
 /// about one interval between announcements of an upstream.
@@ -68,6 +70,7 @@
     tasks: TaskTracker,
     picker: Picker,
     ejection: Ejection,
+    read_ahead: ReadAhead,
     options: Options,
     /// Random start of the traffic split, so that the entries of a fleet do not follow the same
     /// sequence of services at the same time.
@@ -93,6 +96,7 @@
             tasks,
             picker: Picker::default(),
             ejection: Ejection::default(),
+            read_ahead: ReadAhead::default(),
             options,
             split_offset: fastrand::u32(..),
         }
--- a/goldcresttally-proxy/src/server.rs
+++ b/goldcresttally-proxy/src/server.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
@@ -16,6 +17,7 @@
 use tower::util::Oneshot;
 use tower::{Service, ServiceExt};
 
+use crate::activity::{Activity, ObservedStream};
 use crate::body::{CallBody, boxed};
 
 /// Minimum buffer for the head of a request, in bytes; hyper accepts no smaller one.
@@ -33,6 +35,16 @@
 /// Flow-control window of all requests on a connection, in bytes.
 const CONNECTION_WINDOW_BYTES: u32 = 4 * 1024 * 1024;
 
+/// Time that an idle connection has to close once the listener stops, in milliseconds, and interval at
+/// which the others are checked.
+const CLOSE_CHECK_INTERVAL_MS: u64 = 1000;
+
+/// Time that a client has to close a connection which this node has finished with, in milliseconds.
+const LINGER_TIMEOUT_MS: u64 = 2000;
+
+/// Size of the reads of bytes that are discarded, in bytes.
+const LINGER_READ_BYTES: usize = 1024;
+
 /// Delay after a failed accept, in milliseconds.
 const ACCEPT_RETRY_MS: u64 = 50;
 
@@ -45,7 +57,10 @@
     Nodes,
 }
 
-/// Serves HTTP/1.1 and HTTP/2 on `listener` until `stop`, then completes the calls in flight.
+/// Serves HTTP/1.1 and HTTP/2 on `listener` until `stop`, then completes the calls in flight and
+/// delivers their responses, for as long as the clients read them.
+///
+/// Dropping the future closes all connections.
 ///
 /// Connections are distributed over `workers`, each a runtime and the service to use on it, in
 /// round-robin order. A connection keeps the limits that `limits` returns when it is accepted.
@@ -64,6 +79,9 @@
     S::Future: Send + 'static,
 {
     let graceful = GracefulShutdown::new();
+    let connections = TaskTracker::new();
+    let abort = CancellationToken::new();
+    let _abort_on_drop = abort.clone().drop_guard();
     for index in 0.. {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -82,11 +100,14 @@
             builder.http2().max_pending_accept_reset_streams(MAX_STREAMS as usize);
         }
         let service = HyperAdapter(service.clone());
-        let connection = serve_connection(stream, builder, service, graceful.watcher());
-        tasks.spawn_on(connection, handle);
+        let ends = ConnectionEnds { stop: stop.clone(), abort: abort.clone() };
+        let connection = serve_connection(stream, builder, service, graceful.watcher(), ends);
+        tasks.spawn_on(connections.track_future(connection), handle);
     }
     drop(listener);
     graceful.shutdown().await;
+    connections.close();
+    connections.wait().await;
 }
 
 /// Adapts a tower service with boxed bodies to hyper's service trait.
@@ -112,6 +133,7 @@
     builder: auto::Builder<TokioExecutor>,
     service: HyperAdapter<S>,
     watcher: Watcher,
+    ends: ConnectionEnds,
 ) where
     S: Service<Request<CallBody>, Response = Response<CallBody>, Error = Infallible>
         + Clone
@@ -123,9 +145,64 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let (stream, activity, returned) = ObservedStream::returning(stream);
     let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-    // A connection error concerns only its client.
-    let _ = watcher.watch(connection).await;
+    tokio::select! {
+        // A connection error concerns only its client.
+        _ = watcher.watch(connection) => {}
+        () = ends.wait(&activity) => return,
+    }
+    if let Ok(stream) = returned.await {
+        tokio::select! {
+            () = linger(stream) => {}
+            () = ends.abort.cancelled() => {}
+        }
+    }
+}
+
+/// Closes a connection once the client has received everything.
+///
+/// If bytes from the client are unread when a socket is closed, the kernel resets the connection and
+/// drops what it has not delivered yet.
+async fn linger(mut stream: TcpStream) {
+    let receive = async {
+        let mut buf = [0; LINGER_READ_BYTES];
+        let _ = stream.shutdown().await;
+        while matches!(stream.read(&mut buf).await, Ok(1..)) {}
+    };
+    let _ = tokio::time::timeout(Duration::from_millis(LINGER_TIMEOUT_MS), receive).await;
+}
+
+/// Tells when a connection that does not end by itself is closed.
+struct ConnectionEnds {
+    /// No new calls are taken and those in flight complete.
+    stop: CancellationToken,
+    /// All connections close.
+    abort: CancellationToken,
+}
+
+impl ConnectionEnds {
+    /// Waits until the connection is to be closed: at once after `abort`, or after `stop` if there is
+    /// nothing left to deliver. A client that is about to send a request does not delay the stop.
+    async fn wait(&self, activity: &Activity) {
+        tokio::select! {
+            () = self.abort.cancelled() => return,
+            () = self.stop.cancelled() => {}
+        }
+        let interval = Duration::from_millis(CLOSE_CHECK_INTERVAL_MS);
+        loop {
+            tokio::select! {
+                () = self.abort.cancelled() => return,
+                () = tokio::time::sleep(interval) => {}
+            }
+            // On HTTP/2, responses may also wait for the client's flow control; a client that does
+            // not answer the pings of the shutdown receives nothing either.
+            let receives = activity.is_http2() && activity.last_received().elapsed() < interval;
+            if !activity.is_write_blocked() && !receives {
+                return;
+            }
+        }
+    }
 }
 
 fn builder(limits: LimitsSpec) -> auto::Builder<TokioExecutor> {
--- a/goldcresttallyd/src/node/stop.rs
+++ b/goldcresttallyd/src/node/stop.rs
@@ -12,10 +12,6 @@
 /// Time that operator connections and remaining tasks have to close, in milliseconds.
 const CLOSE_TIMEOUT_MS: u64 = 200;
 
-/// Time that connections have to write their buffers once no call is in flight, in milliseconds:
-/// enough for a few buffers over the slowest link of a VM.
-const FLUSH_TIMEOUT_MS: u64 = 1000;
-
 /// Time in which gossip tells nearly all members that this node is leaving, in milliseconds: a few
 /// gossip rounds.
 const GOSSIP_SPREAD_MS: u64 = 1000;
@@ -28,7 +24,8 @@
     /// flight.
     ///
     /// New calls are forwarded to other nodes during the leave notice, or refused as not run.
-    /// Returns whether all calls in flight ended before the drain deadline.
+    /// Returns whether all calls in flight ended before the drain deadline, and their responses were
+    /// delivered.
     pub async fn stop(mut self) -> bool {
         let requests = self.settings.requests.clone();
         let now = self.state.clock.now();
@@ -50,16 +47,15 @@
             emit(events::DRAIN_TIMED_OUT, format_args!("after {} ms", requests.drain_ms));
             self.state.abort_calls();
         }
-        let flush_deadline = Instant::now() + Duration::from_millis(FLUSH_TIMEOUT_MS);
         let min_deadline = Instant::now() + Duration::from_millis(CLOSE_TIMEOUT_MS);
-        let close_deadline =
-            flush_deadline.min(self.state.clock.instant(drain_deadline)).max(min_deadline);
+        let close_deadline = after(requests.drain_ms + requests.flush_ms);
+        let close_deadline = self.state.clock.instant(close_deadline).max(min_deadline);
         self.stop_calls.cancel();
-        join_by(close_deadline, &mut self.call_listeners).await;
+        let delivered = join_by(close_deadline, &mut self.call_listeners).await;
         self.stop.cancel();
-        join_by(close_deadline, &mut self.peer_listeners).await;
+        let delivered = join_by(close_deadline, &mut self.peer_listeners).await && delivered;
         self.close().await;
-        drained
+        drained && delivered
     }
 
     /// Stops the node immediately, as a crash would; calls in flight are aborted.
@@ -93,11 +89,11 @@
         let limit = Instant::now() + Duration::from_millis(CLOSE_TIMEOUT_MS);
         join_by(limit, &mut self.listeners).await;
         self.tasks.close();
-        // Remaining tasks serve connections that clients keep open.
-        let _ = tokio::time::timeout_at(limit, self.tasks.wait()).await;
+        // Remaining tasks serve connections to other nodes and to upstreams.
+        let calls_ended = tokio::time::timeout_at(limit, self.tasks.wait());
+        let (_, ()) = tokio::join!(calls_ended, self.control.stop());
         let node = self.state.identity.node;
         self.workers.stop().await;
-        self.control.stop().await;
         emit(events::NODE_STOPPED, format_args!("{node}"));
     }
 }
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -35,6 +35,7 @@
         let r = &self.requests;
         in_range("requests.leave_notice_ms", r.leave_notice_ms, 0, 60_000)?;
         in_range("requests.drain_ms", r.drain_ms, 0, 3_600_000)?;
+        in_range("requests.flush_ms", r.flush_ms, 0, 60_000)?;
         if !(0.1..=1000.0).contains(&r.claim_writes_per_second) {
             return invalid(
                 "requests.claim_writes_per_second",
--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -149,6 +149,9 @@
     pub leave_notice_ms: u64,
     /// Time that calls in flight have to finish in a graceful shutdown, in milliseconds.
     pub drain_ms: u64,
+    /// Time after the drain time in which responses are still delivered to slow readers, in
+    /// milliseconds.
+    pub flush_ms: u64,
     /// Maximum number of transactions per second that write claims.
     pub claim_writes_per_second: f64,
     /// Whether a refusal redirects to a less loaded node.
@@ -169,6 +172,7 @@
         Self {
             leave_notice_ms: 1000,
             drain_ms: 30_000,
+            flush_ms: 1000,
             claim_writes_per_second: 30.0,
             redirects: false,
             retry_share: 0.2,
--- a/tally-lab/tests/planned_stop.rs
+++ b/tally-lab/tests/planned_stop.rs
@@ -9,7 +9,7 @@
 use tally_lab::documents;
 use tally_lab::fleet::FleetOptions;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Size of an answer that exceeds all buffers between upstream and caller.
 const LARGE_ANSWER_BYTES: usize = 48 << 20;
@@ -17,6 +17,14 @@
 /// Time for which the caller does not read; an idle node stops sooner.
 const READ_PAUSE: Duration = Duration::from_millis(2500);
 
+/// Size of an answer that is read at 2 MB/s: more than the buffers between upstream and caller, and
+/// read within the drain time.
+const SLOWLY_READ_BYTES: usize = 12 << 20;
+
+/// Size of the parts in which an answer is read slowly, and the pause after each.
+const READ_BYTES: usize = 64 * 1024;
+const READ_INTERVAL: Duration = Duration::from_millis(32);
+
 /// Deadline of the calls, in milliseconds.
 const TIMEOUT_MS: u64 = 60_000;
 
@@ -60,6 +68,32 @@
     harness.stop().await;
 }
 
+/// Guards against a stop that closes links while parts of an answer still wait in this node for a
+/// reader that is slower than the upstream.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_beside_the_upstream_delivers_answer_to_slow_reader() {
+    let upstream = Behaviour { answer_bytes: SLOWLY_READ_BYTES, ..fast_behaviour() };
+    let mut harness = start_harness(upstream).await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(READ_BYTES as u32).unwrap();
+    let mut stream = socket.connect(harness.entry(0)).await.unwrap();
+    let get = "GET /booking/urgent/read HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+    stream.write_all(get.as_bytes()).await.unwrap();
+    assert!(read_head(&mut stream).await.starts_with("HTTP/1.1 200 "));
+    let read = async {
+        let (mut buf, mut total) = (vec![0; READ_BYTES], 0);
+        while let Ok(read @ 1..) = stream.read(&mut buf).await {
+            total += read;
+            tokio::time::sleep(READ_INTERVAL * read as u32 / READ_BYTES as u32).await;
+        }
+        total
+    };
+    let (ended, read) = tokio::join!(harness.fleet.stop_node(1), read);
+    assert!(read >= SLOWLY_READ_BYTES, "{read} bytes arrived");
+    assert!(ended, "the stop exceeded the drain deadline");
+    harness.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn idle_connections_do_not_delay_planned_stop() {
     let mut harness = start_harness(fast_behaviour()).await;
