An answer without an id counts only on a fresh connection

Operators of other systems reported a second copy of an answer, late, on a connection in use again, that became the answer to another call. Here, copies that arrive on an idle connection close it, and those with an id are told apart; one without an id was taken as the answer, unless it was a refusal.

Why this works: where upstreams echo ids, an answer on a connection that carried another call must name its own; otherwise the call may have run.

--- a/goldcresttally-proxy/src/peer/upstream_messages.rs
+++ b/goldcresttally-proxy/src/peer/upstream_messages.rs
@@ -50,7 +50,7 @@
     Shed,
     /// Another process has the upstream's address. The call did not run.
     WrongInstance,
-    /// A response with the id of another call, or a refusal that may be of another call.
+    /// A response with the id of another call, or one without an id that may be of another call.
     Mismatched,
     /// A response that is unsigned, has an unrequested encoding, or whose end cannot be detected.
     Malformed,
@@ -101,8 +101,8 @@
         let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST
             && conventions.target_instance.is_some();
         let refused = misdirected || map.contains_key(&conventions.not_run);
-        // Without an id, it may repeat the refusal of an earlier call on this connection.
-        if refused && kept && echoed.is_none() && self.call_id.is_some() {
+        // Without an id, it may repeat the answer to an earlier call on this connection.
+        if kept && echoed.is_none() && self.call_id.is_some() {
             return ResponseKind::Mismatched;
         }
         if misdirected {
