Requests without end take neither memory nor the thread

Operators reported bytes without end from an instance; this looks for the same on a node's own ports.

Cause: bodies to the port for heartbeats and to the operators' port were collected chunk by chunk, and a chunk of 4 bytes takes many times its size: six connections made a node grow by 68 MB, and on. Reads of up to 400 KB, some hundred before another task runs, let a chunk size of endless zeros keep the thread for up to 3.2 s (debug build).

Why this works: bodies are read into one buffer with the limit of the port, and connections of the axum listeners are read 16 KiB at a time, as those for calls are.

--- a/goldcresttally-proxy/src/body.rs
+++ b/goldcresttally-proxy/src/body.rs
@@ -108,7 +108,17 @@
 /// Reads a body into memory if it has at most [`MAX_BUFFERED_BODY_BYTES`].
 ///
 /// Returns the bytes that were read and, for a larger body, the rest of it.
-pub async fn read_up_to_limit<B>(mut body: B) -> Result<(Bytes, Option<B>), B::Error>
+pub async fn read_up_to_limit<B>(body: B) -> Result<(Bytes, Option<B>), B::Error>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    read_up_to(body, MAX_BUFFERED_BODY_BYTES).await
+}
+
+/// Reads a body into memory if it has at most `limit` bytes, like [`read_up_to_limit`].
+///
+/// The bytes are contiguous: kept as they arrive, a body in small chunks takes many times its size.
+pub async fn read_up_to<B>(mut body: B, limit: usize) -> Result<(Bytes, Option<B>), B::Error>
 where
     B: Body<Data = Bytes> + Unpin,
 {
@@ -126,7 +136,7 @@
                 buf.extend_from_slice(&data);
             }
         }
-        if buf.len().max(first.as_ref().map_or(0, Bytes::len)) > MAX_BUFFERED_BODY_BYTES {
+        if buf.len().max(first.as_ref().map_or(0, Bytes::len)) > limit {
             return Ok((first.unwrap_or_else(|| buf.freeze()), Some(body)));
         }
     }
--- a/goldcresttallyd/src/lib.rs
+++ b/goldcresttallyd/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod node;
 pub mod operator;
 pub mod settings;
+pub mod small_reads;
 pub mod statsd;
 
 pub use node::{Node, NodeOptions};
--- a/goldcresttallyd/src/metrics_text.rs
+++ b/goldcresttallyd/src/metrics_text.rs
@@ -11,6 +11,8 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::small_reads::with_small_reads;
+
 /// HTTP path of the metrics.
 pub const PATH: &str = "/metrics";
 
@@ -30,7 +32,7 @@
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
     let handler = move || async move { render(&peer, &recorder) };
-    let served = axum::serve(listener, Router::new().route(PATH, get(handler)));
+    let served = axum::serve(with_small_reads(listener), Router::new().route(PATH, get(handler)));
     tokio::select! {
         result = served.into_future() => result,
         () = stop.cancelled() => Ok(()),
--- a/goldcresttallyd/src/operator/mod.rs
+++ b/goldcresttallyd/src/operator/mod.rs
@@ -12,23 +12,31 @@
 use std::time::Duration;
 
 use axum::Router;
-use axum::extract::DefaultBodyLimit;
+use axum::extract::{DefaultBodyLimit, Request};
+use axum::middleware::Next;
+use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use goldcresttally_config::SECTION_LIMIT_BYTES;
 use goldcresttally_proxy::Peer;
+use goldcresttally_proxy::body::read_up_to;
 use goldcresttally_report::Recorder;
 use goldcresttally_store::Document;
+use http::StatusCode;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::control::Command;
 use crate::settings::Settings;
+use crate::small_reads::with_small_reads_and_address;
 use problem::Problem;
 
 /// Time limit for a reply from the control thread, in milliseconds.
 const CONTROL_TIMEOUT_MS: u64 = 2000;
 
+/// Maximum size of a request's body, in bytes.
+const MAX_BODY_BYTES: usize = SECTION_LIMIT_BYTES + 1024;
+
 /// The state shared by the API handlers.
 #[derive(Debug)]
 pub struct OperatorApi {
@@ -49,7 +57,7 @@
 /// Serves the API on `listener` until `stop` is cancelled.
 pub async fn serve(listener: TcpListener, operator: OperatorApi, stop: CancellationToken) {
     let service = router(Arc::new(operator)).into_make_service_with_connect_info::<SocketAddr>();
-    let served = axum::serve(listener, service);
+    let served = axum::serve(with_small_reads_and_address(listener), service);
     tokio::select! {
         // `axum::serve` retries failed accepts and never returns an error.
         _ = served.into_future() => {}
@@ -57,6 +65,16 @@
     }
 }
 
+/// Reads the body of a request before it is handled.
+async fn read_body(req: Request, next: Next) -> Response {
+    let (parts, body) = req.into_parts();
+    match read_up_to(body, MAX_BODY_BYTES).await {
+        Ok((body, None)) => next.run(Request::from_parts(parts, body.into())).await,
+        Ok((_, Some(_))) => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
+        Err(_) => StatusCode::BAD_REQUEST.into_response(),
+    }
+}
+
 fn router(operator: Shared) -> Router {
     Router::new()
         .route("/v1/upstreams", post(upstreams::announce).delete(upstreams::withdraw))
@@ -77,7 +95,8 @@
         .route("/v1/summary", get(fleet::summary))
         .route("/v1/report/burn", get(fleet::burn))
         .fallback(problem::not_found)
-        .layer(DefaultBodyLimit::max(SECTION_LIMIT_BYTES + 1024))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .layer(axum::middleware::from_fn(read_body))
         .with_state(operator)
 }
 
