--- a/goldcresttally-core/src/ids.rs
+++ b/goldcresttally-core/src/ids.rs
@@ -90,6 +90,16 @@
     TeamName,
     "team name"
 );
+name_type!(
+    /// The name of a client account.
+    AccountName,
+    "account name"
+);
+name_type!(
+    /// The release of an upstream's software.
+    ReleaseName,
+    "release name"
+);
 
 name_type!(
     /// Identifies one process of an upstream, for upstreams that distinguish successive processes
--- a/goldcresttally-core/src/lib.rs
+++ b/goldcresttally-core/src/lib.rs
@@ -21,8 +21,8 @@
 pub use collections::{Hasher, Map, Set};
 pub use errors::{Error, Result};
 pub use ids::{
-    AttemptId, DomainId, FeedPosition, Generation, Incarnation, InstanceId, NodeId, OperationId,
-    RankName, RegionId, SectionName, ServiceName, TeamName, Version,
+    AccountName, AttemptId, DomainId, FeedPosition, Generation, Incarnation, InstanceId, NodeId,
+    OperationId, RankName, RegionId, ReleaseName, SectionName, ServiceName, TeamName, Version,
 };
 pub use time::{Deadline, MonoTime};
 pub use units::{BitRate, ByteSize, Rate, Share};
--- a/goldcresttally-wire/schema/wire.capnp
+++ b/goldcresttally-wire/schema/wire.capnp
@@ -113,6 +113,62 @@
   }
 }
 
+struct AccountTokens {
+  account @0 :Text;
+  milli @1 :UInt64;
+  # Thousandths of a call.
+}
+
+struct TokenGrant {
+  account @0 :Text;
+  milli @1 :UInt64;
+  # Thousandths of a call; the receiver owns them now.
+  retryAfterMs @2 :UInt32;
+  # Time after which there will be more; 0 when all that was asked for was granted.
+}
+
+enum RolloutPhase {
+  canary @0;
+  open @1;
+  shift @2;
+  completed @3;
+  rolledBack @4;
+}
+
+struct RolloutStage {
+  service @0 :Text;
+  release @1 :Text;
+  # The release under test.
+  order @2 :UInt64;
+  # Revision of the operator's order.
+  epoch @3 :UInt64;
+  # Fencing token of the decider.
+  phase @4 :RolloutPhase;
+  rateMilli @5 :UInt64;
+  # Thousandths of a call per second that this node may let through; the maximum for no limit.
+  validMs @6 :UInt32;
+  # Time for which the stage holds after it was received.
+}
+
+struct RolloutClass {
+  class @0 :UInt32;
+  # Key of the class of call.
+  answered @1 :UInt64;
+  failed @2 :UInt64;
+  totalMs @3 :UInt64;
+  # Sum of the times from sending a call to its answer.
+}
+
+struct RolloutReport {
+  release @0 :Text;
+  # Release of the upstream beside the node; empty without one.
+  epoch @1 :UInt64;
+  # Highest epoch that the node has seen.
+  received @2 :UInt64;
+  inFlight @3 :UInt32;
+  classes @4 :List(RolloutClass);
+}
+
 interface Control {
   join @0 (record :Record) -> (floor :UInt64, version :UInt64, records :List(Record), busy :Bool, knowsFloor :Bool);
   # Floor: the newest version ever told from the joining node's address. A node that does not
@@ -130,4 +186,10 @@
   claim @5 (claims :List(Claim)) -> (results :List(ClaimResult));
 
   ping @6 () -> ();
+
+  exchangeTokens @7 (deposits :List(AccountTokens), wants :List(AccountTokens)) -> (grants :List(TokenGrant), sought :List(Text));
+  # Deposits are tokens that the sender has given up; sought are accounts for which deposits are
+  # needed.
+
+  rollout @8 (stage :RolloutStage) -> (report :RolloutReport);
 }
