Notice a store that was restored from a copy

Cause: a restored store assigns its revisions again. A feed that continued from a revision of before missed what had been written at a lower one, and directory entries written since the copy were gone until the next regular listing, up to a minute later.

Change: positions in the feed carry the era that the store names in its answers.

--- a/goldcresttally-core/src/ids.rs
+++ b/goldcresttally-core/src/ids.rs
@@ -165,10 +165,37 @@
 
 number_type!(
     /// A position in the change feed of a table.
+    ///
+    /// A store that was restored from an older copy assigns its revisions again. The upper 16 bits
+    /// therefore count how often that happened, so that positions of before are lower than those
+    /// after it and are not taken for one another.
     FeedPosition,
     "feed position"
 );
 
+/// Bits of a feed position that hold the revision; 2^48 revisions last for 8,900 years at 1,000
+/// writes per second.
+const REVISION_BITS: u32 = 48;
+
+impl FeedPosition {
+    /// Returns the position of a revision in an era of the store; numbers that do not fit are cut to
+    /// the largest one.
+    pub fn new(era: u64, revision: u64) -> Self {
+        let revision = revision.min((1 << REVISION_BITS) - 1);
+        Self(era.min(u16::MAX.into()) << REVISION_BITS | revision)
+    }
+
+    /// Returns how often the store had been restored from a copy.
+    pub fn era(self) -> u64 {
+        self.0 >> REVISION_BITS
+    }
+
+    /// Returns the revision within the era.
+    pub fn revision(self) -> u64 {
+        self.0 & ((1 << REVISION_BITS) - 1)
+    }
+}
+
 /// Identifies a node: the address of its control listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/goldcresttally-distribution/src/machine/freshness.rs
+++ b/goldcresttally-distribution/src/machine/freshness.rs
@@ -76,7 +76,7 @@
 
     /// Returns the position from which this node continues the change feed, if it has none of its
     /// own.
-    pub(super) fn feed_position(&self) -> Option<FeedPosition> {
+    pub fn feed_position(&self) -> Option<FeedPosition> {
         self.freshness.position
     }
 
--- a/goldcresttallyd/src/control/join.rs
+++ b/goldcresttallyd/src/control/join.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use goldcresttally_core::{Deadline, Map, NodeId};
+use goldcresttally_core::{Deadline, FeedPosition, Map, NodeId};
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership as members;
 use goldcresttally_membership::Record;
@@ -45,6 +45,12 @@
 /// Interval at which a node adds itself to the directory again: another node may have removed it.
 const RELIST_INTERVAL: Duration = Duration::from_mins(1);
 
+/// Interval at which a node checks whether the store was restored from a copy, in milliseconds.
+const ERA_CHECK_MS: u64 = 1000;
+
+/// Time over which the nodes add themselves to a restored directory, in milliseconds.
+const RESTORE_SPREAD_MS: u64 = 3000;
+
 impl Control {
     /// Tries to join when due, through seeds, listed nodes and members, until this node has joined
     /// and knows its version floor.
@@ -125,10 +131,16 @@
         let mut waited = false;
         let mut unknown_rounds = 0;
         let mut failures: Map<NodeId, u32> = Map::default();
+        let mut listed_era = None;
         loop {
-            if relist_at.is_past(self.now()) {
+            let era = self.store_era();
+            let restored = listed_era.is_some() && era > listed_era;
+            if relist_at.is_past(self.now()) || restored {
                 match directory.add(own).await {
-                    Ok(()) => relist_at = Deadline::after(self.now(), RELIST_INTERVAL),
+                    Ok(()) => {
+                        relist_at = Deadline::after(self.now(), RELIST_INTERVAL);
+                        listed_era = era.or(listed_era);
+                    }
                     Err(e) => emit(events::DIRECTORY_FAILED, format_args!("{e}")),
                 }
             }
@@ -152,6 +164,7 @@
             let wait = Duration::from_millis(wait_ms / 2 + fastrand::u64(0..wait_ms));
             tokio::select! {
                 () = tokio::time::sleep(wait) => {}
+                () = self.wait_until_restored(&mut listed_era) => {}
                 () = self.stop.cancelled() => break,
             }
         }
@@ -159,6 +172,21 @@
         let _ = directory.remove(vec![own]).await;
     }
 
+    /// Returns how often the store was restored from a copy, as far as the change feed has told.
+    fn store_era(&self) -> Option<u64> {
+        self.machines.borrow().distribution.feed_position().map(FeedPosition::era)
+    }
+
+    /// Waits until the store was restored from a copy after `listed_era`, which may have lost this
+    /// node's entry, and then for a random time, so that not all nodes write at once.
+    async fn wait_until_restored(&self, listed_era: &mut Option<u64>) {
+        while listed_era.is_none() || self.store_era() <= *listed_era {
+            *listed_era = listed_era.or(self.store_era());
+            tokio::time::sleep(Duration::from_millis(ERA_CHECK_MS)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(fastrand::u64(0..RESTORE_SPREAD_MS))).await;
+    }
+
     /// Joins listed nodes that are not known as members, and removes unreachable ones from the
     /// directory.
     ///
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -50,6 +50,7 @@
     DATAGRAM_INVALID = 1105 Warn "unreadable datagram";
     DIRECTORY_FAILED = 1106 Warn "directory of nodes could not be used";
     ENTRIES_SKIPPED = 1107 Warn "entries of a list skipped: they cannot be read";
+    STORE_ERA = 1108 Warn "the store names another era: it was restored from a copy";
     VERSION_INSTALLED = 1201 Info "configuration version in force";
     VERSION_REFUSED = 1202 Error "configuration version refused whole";
     POLL_FAILED = 1203 Warn "table could not be read";
