--- a/goldcresttally-config/src/document.rs
+++ b/goldcresttally-config/src/document.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use goldcresttally_core::{RankName, ServiceName, Share};
+use goldcresttally_core::{AccountName, RankName, Rate, ServiceName, Share};
 use serde::{Deserialize, Serialize};
 
+use crate::snapshot::KeyDigest;
+
 /// One section of the configuration document, as written by the team that owns it.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -18,6 +20,27 @@
     pub routes: Vec<RouteSpec>,
     /// Limits on incoming requests; at most one section may set them.
     pub limits: Option<LimitsSpec>,
+    /// Client accounts by name. If any section has one, calls on routes that are not public need a
+    /// known key.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub accounts: BTreeMap<AccountName, AccountSpec>,
+    /// Requires a key as if there were accounts, even if no section has one.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub require_keys: bool,
+}
+
+/// A client account: its keys, its rank and its rate limit.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AccountSpec {
+    /// SHA-256 digests of the account's keys, in hexadecimal.
+    pub key_sha256: Vec<KeyDigest>,
+    /// Rank of the account's calls; the route's rank when absent.
+    pub rank: Option<RankName>,
+    /// Maximum calls per second over all nodes; unlimited when 0 or absent.
+    pub rate_per_s: Option<Rate>,
+    /// Calls that may exceed the rate at once; none when 0 or absent.
+    pub burst: Option<f64>,
 }
 
 /// Limits on incoming requests and on the connections of callers.
@@ -137,6 +160,9 @@
     /// absent.
     #[serde(default)]
     pub target_ms: Option<u32>,
+    /// Whether calls need no key although the document has accounts.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 /// One service of a weighted split.
--- a/goldcresttally-config/src/lib.rs
+++ b/goldcresttally-config/src/lib.rs
@@ -17,12 +17,12 @@
 pub mod snapshot;
 
 pub use digest::Digest;
-pub use document::{KeyPolicy, LimitsSpec, OutagePolicy, Section};
+pub use document::{AccountSpec, KeyPolicy, LimitsSpec, OutagePolicy, Section};
 pub use errors::{Error, Result};
 pub use manifest::{Manifest, SectionEntry};
 pub use parse::{SectionFormat, YamlFormat, parse_section};
 pub use section_cache::SectionCache;
-pub use snapshot::{Rank, Route, Service, Snapshot, Split};
+pub use snapshot::{Account, Accounts, KeyDigest, Rank, Route, Service, Snapshot, Split};
 
 /// Maximum size of a section body, in bytes.
 pub const SECTION_LIMIT_BYTES: usize = 256 * 1024;
--- a/goldcresttally-config/src/parse.rs
+++ b/goldcresttally-config/src/parse.rs
@@ -41,7 +41,12 @@
         let path = e.path().to_string();
         let cause = e.into_inner();
         let line = cause.location().map(|l| l.line());
-        Error::at(name, path, cause.to_string()).with_line(line)
+        // The message would repeat the value, which may be a key written in place of its digest.
+        let message = match path == "accounts" || path.starts_with("accounts.") {
+            true => "invalid account; the value is not shown, because it may be a key".to_owned(),
+            false => cause.to_string(),
+        };
+        Error::at(name, path, message).with_line(line)
     })
 }
 
--- /dev/null
+++ b/goldcresttally-config/src/snapshot/accounts.rs
@@ -0,0 +1,176 @@
+//! Client accounts, found by the digest of a key.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use goldcresttally_core::{AccountName, Rate};
+use serde::{Deserialize, Serialize};
+use sha2::Digest as _;
+use subtle::ConstantTimeEq as _;
+
+use super::Rank;
+
+/// Number of bytes of a digest by which the index is searched.
+const PREFIX_BYTES: usize = 8;
+
+/// The SHA-256 digest of an account's key.
+///
+/// It is never shown: `Debug` hides it, there is no `Display`, and errors do not repeat the text.
+/// Serialization writes 64 hexadecimal digits.
+#[derive(Clone, Copy, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// Computes the digest of a key.
+    pub fn of(key: &[u8]) -> Self {
+        Self(sha2::Sha256::digest(key).into())
+    }
+
+    fn prefix(&self) -> [u8; PREFIX_BYTES] {
+        let mut prefix = [0; PREFIX_BYTES];
+        prefix.copy_from_slice(&self.0[..PREFIX_BYTES]);
+        prefix
+    }
+}
+
+/// Compares in constant time.
+impl PartialEq for KeyDigest {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Eq for KeyDigest {}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest(hidden)")
+    }
+}
+
+/// A text that is not a key digest. The text is left out, because it may be a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InvalidKeyDigest;
+
+impl fmt::Display for InvalidKeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("expected the SHA-256 digest of a key as 64 hexadecimal digits")
+    }
+}
+
+impl std::error::Error for InvalidKeyDigest {}
+
+impl FromStr for KeyDigest {
+    type Err = InvalidKeyDigest;
+
+    fn from_str(text: &str) -> Result<Self, InvalidKeyDigest> {
+        let digit = |byte: u8| match char::from(byte).to_digit(16) {
+            Some(value) => Ok(value as u8),
+            None => Err(InvalidKeyDigest),
+        };
+        let (pairs, rest) = text.as_bytes().as_chunks::<2>();
+        let mut bytes = [0; 32];
+        if pairs.len() != bytes.len() || !rest.is_empty() {
+            return Err(InvalidKeyDigest);
+        }
+        for (byte, [high, low]) in bytes.iter_mut().zip(pairs) {
+            *byte = digit(*high)? << 4 | digit(*low)?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl TryFrom<String> for KeyDigest {
+    type Error = InvalidKeyDigest;
+
+    fn try_from(text: String) -> Result<Self, InvalidKeyDigest> {
+        text.parse()
+    }
+}
+
+impl From<KeyDigest> for String {
+    fn from(digest: KeyDigest) -> Self {
+        use fmt::Write as _;
+        let mut text = String::with_capacity(2 * digest.0.len());
+        for byte in digest.0 {
+            // Writing to a string cannot fail.
+            let _ = write!(text, "{byte:02x}");
+        }
+        text
+    }
+}
+
+/// A client account.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Account {
+    /// The account's name.
+    pub name: AccountName,
+    /// Rank of the account's calls; the route's rank when `None`.
+    pub rank: Option<Arc<Rank>>,
+    /// Maximum calls per second over all nodes; unlimited when `None`.
+    pub rate: Option<Rate>,
+    /// Calls that may exceed the rate at once.
+    pub burst: f64,
+}
+
+/// The accounts of a configuration version.
+#[derive(Debug, Default)]
+pub struct Accounts {
+    /// Each key with the position of its account, sorted by the digest.
+    keys: Vec<(KeyDigest, u32)>,
+    /// All accounts, sorted by name.
+    accounts: Vec<Arc<Account>>,
+    require_keys: bool,
+}
+
+impl Accounts {
+    /// Indexes accounts with their keys; returns the position of an account one of whose keys is
+    /// listed twice, if there is one.
+    pub(super) fn index(
+        mut accounts: Vec<(Arc<Account>, &[KeyDigest])>,
+        require_keys: bool,
+    ) -> Result<Self, AccountName> {
+        accounts.sort_by(|(a, _), (b, _)| a.name.cmp(&b.name));
+        let mut keys: Vec<_> = accounts
+            .iter()
+            .zip(0..)
+            .flat_map(|((_, keys), position)| keys.iter().map(move |key| (*key, position)))
+            .collect();
+        keys.sort_unstable_by_key(|(key, position)| (key.0, *position));
+        if let Some([_, (_, second)]) = keys.array_windows().find(|[(a, _), (b, _)]| a == b) {
+            return Err(accounts[*second as usize].0.name.clone());
+        }
+        let accounts = accounts.into_iter().map(|(account, _)| account).collect();
+        Ok(Self { keys, accounts, require_keys })
+    }
+
+    /// Returns whether there are no accounts.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// Returns whether calls on routes that are not public need a known key: the document has
+    /// accounts, or had some that could not be read.
+    pub fn require_keys(&self) -> bool {
+        self.require_keys || !self.is_empty()
+    }
+
+    /// Returns the account of a key.
+    ///
+    /// The search by the first bytes takes a time that depends on them; they are a part of a hash
+    /// that the caller cannot choose. Whole digests are compared in constant time.
+    pub fn find(&self, key: &KeyDigest) -> Option<&Arc<Account>> {
+        let prefix = key.prefix();
+        let start = self.keys.partition_point(|(k, _)| k.prefix() < prefix);
+        let candidates = self.keys[start..].iter().take_while(|(k, _)| k.prefix() == prefix);
+        let (_, position) = candidates.into_iter().find(|(k, _)| k == key)?;
+        self.accounts.get(*position as usize)
+    }
+
+    /// Returns all accounts, ordered by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
+        self.accounts.iter()
+    }
+}
--- a/goldcresttally-config/src/snapshot/build.rs
+++ b/goldcresttally-config/src/snapshot/build.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use goldcresttally_core::{Map, RankName, SectionName, Version};
+use goldcresttally_core::{AccountName, Map, RankName, SectionName, Version};
 
-use super::{Rank, Route, Service, Snapshot, Split};
-use crate::document::{LimitsSpec, RankSpec, RouteSpec, Section, SplitSpec};
+use super::{Account, Accounts, Rank, Route, Service, Snapshot, Split};
+use crate::document::{AccountSpec, LimitsSpec, RankSpec, RouteSpec, Section, SplitSpec};
 use crate::errors::{Error, Result};
 use crate::parse::{SectionFormat, YamlFormat, line_of};
 
@@ -63,6 +63,7 @@
                 snapshot.add_route(name, i, spec, &ranks)?;
             }
         }
+        snapshot.accounts = link_accounts(sections, &ranks)?;
         Ok(snapshot)
     }
 
@@ -206,6 +207,7 @@
             on_table_outage: spec.on_table_outage,
             timeout: Duration::from_millis(spec.timeout_ms.into()),
             retries: spec.retries,
+            public: spec.public,
         });
         match self.routes.insert(route) {
             None => Ok(()),
@@ -216,6 +218,58 @@
     }
 }
 
+fn link_accounts(
+    sections: &[(&SectionName, &Section)],
+    ranks: &Map<RankName, Arc<Rank>>,
+) -> Result<Accounts> {
+    let require_keys = sections.iter().any(|(_, section)| section.require_keys);
+    let mut linked = Vec::new();
+    let mut defined_in = Map::default();
+    for (section, name, spec) in
+        sections.iter().flat_map(|(s, c)| c.accounts.iter().map(move |(n, spec)| (*s, n, spec)))
+    {
+        let path = format!("accounts.{name}");
+        if defined_in.insert(name.clone(), section).is_some() {
+            return Err(Error::at(section, path, "already defined in another section"));
+        }
+        match link_account(name, spec, ranks) {
+            Ok(account) => linked.push((Arc::new(account), spec.key_sha256.as_slice())),
+            Err((field, message)) => {
+                return Err(Error::at(section, format!("{path}.{field}"), message));
+            }
+        }
+    }
+    Accounts::index(linked, require_keys).map_err(|name| {
+        let message = "a key is listed twice, in this account or in two accounts";
+        Error::at(defined_in[&name], format!("accounts.{name}.key_sha256"), message)
+    })
+}
+
+/// Resolves the rank of an account and checks its limits; an error is the name of the invalid field
+/// and a message.
+fn link_account(
+    name: &AccountName,
+    spec: &AccountSpec,
+    ranks: &Map<RankName, Arc<Rank>>,
+) -> std::result::Result<Account, (&'static str, String)> {
+    let rank = match &spec.rank {
+        None => None,
+        Some(rank) => match ranks.get(rank) {
+            Some(rank) => Some(Arc::clone(rank)),
+            None => return Err(("rank", format!("no section defines the rank `{rank}`"))),
+        },
+    };
+    let rate = spec.rate_per_s.unwrap_or_default();
+    let burst = spec.burst.unwrap_or_default();
+    for (field, value) in [("rate_per_s", rate.0), ("burst", burst)] {
+        if !value.is_finite() || value < 0.0 {
+            return Err((field, format!("`{value}` is not a finite number of at least 0")));
+        }
+    }
+    let rate = Some(rate).filter(|rate| rate.0 > 0.0);
+    Ok(Account { name: name.clone(), rank, rate, burst })
+}
+
 /// Removes trailing slashes, because the route index stores prefixes without them.
 fn trim_slash(path: &Arc<str>) -> Arc<str> {
     match path.trim_end_matches('/') {
--- a/goldcresttally-config/src/snapshot/mod.rs
+++ b/goldcresttally-config/src/snapshot/mod.rs
@@ -1,5 +1,6 @@
 //! The snapshot that a node serves: one configuration version with all references resolved.
 
+mod accounts;
 mod build;
 mod matching;
 mod split;
@@ -11,6 +12,7 @@
 use goldcresttally_core::{Map, RankName, ServiceName, Share, Version};
 
 use crate::document::{KeyPolicy, LimitsSpec, OutagePolicy};
+pub use accounts::{Account, Accounts, InvalidKeyDigest, KeyDigest};
 use matching::RouteIndex;
 pub use split::Split;
 
@@ -75,6 +77,8 @@
     pub retries: u8,
     /// Time within which an answer counts as on time.
     pub target: Duration,
+    /// Whether calls need no key although the document has accounts.
+    pub public: bool,
 }
 
 impl Route {
@@ -97,9 +101,15 @@
     ranks: Vec<Arc<Rank>>,
     routes: RouteIndex,
     limits: LimitsSpec,
+    accounts: Accounts,
 }
 
 impl Snapshot {
+    /// Returns the client accounts.
+    pub fn accounts(&self) -> &Accounts {
+        &self.accounts
+    }
+
     /// Returns the limits on incoming requests.
     pub fn limits(&self) -> LimitsSpec {
         self.limits
