Rename the list of accounts in the index

Cause: clippy refuses a field that repeats the name of its struct. Change: the list is named after its order. Result: clippy passes on goldcresttally-config.

--- a/goldcresttally-config/src/snapshot/accounts.rs
+++ b/goldcresttally-config/src/snapshot/accounts.rs
@@ -121,7 +121,7 @@
     /// Each key with the position of its account, sorted by the digest.
     keys: Vec<(KeyDigest, u32)>,
     /// All accounts, sorted by name.
-    accounts: Vec<Arc<Account>>,
+    by_name: Vec<Arc<Account>>,
     require_keys: bool,
 }
 
@@ -142,13 +142,13 @@
         if let Some([_, (_, second)]) = keys.array_windows().find(|[(a, _), (b, _)]| a == b) {
             return Err(accounts[*second as usize].0.name.clone());
         }
-        let accounts = accounts.into_iter().map(|(account, _)| account).collect();
-        Ok(Self { keys, accounts, require_keys })
+        let by_name = accounts.into_iter().map(|(account, _)| account).collect();
+        Ok(Self { keys, by_name, require_keys })
     }
 
     /// Returns whether there are no accounts.
     pub fn is_empty(&self) -> bool {
-        self.accounts.is_empty()
+        self.by_name.is_empty()
     }
 
     /// Returns whether calls on routes that are not public need a known key: the document has
@@ -166,11 +166,11 @@
         let start = self.keys.partition_point(|(k, _)| k.prefix() < prefix);
         let candidates = self.keys[start..].iter().take_while(|(k, _)| k.prefix() == prefix);
         let (_, position) = candidates.into_iter().find(|(k, _)| k == key)?;
-        self.accounts.get(*position as usize)
+        self.by_name.get(*position as usize)
     }
 
     /// Returns all accounts, ordered by name.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
-        self.accounts.iter()
+        self.by_name.iter()
     }
 }
