Identify the account of a call by its key

Change: the entry looks up the key after it has found the route, removes the key's header, and sets or removes the header with the account's name. The account's rank replaces the route's in headers to the peer, class keys, throttles and statistics. New reason `unknown-key`: 401 with `WWW-Authenticate`; 503 while a later version may have the key. Claims on idempotency keys are kept apart by account, because accounts choose these keys independently. The settings name the headers.

--- a/goldcresttally-proxy/src/call_log.rs
+++ b/goldcresttally-proxy/src/call_log.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use goldcresttally_admission::TransferLoad;
-use goldcresttally_core::{NodeId, Rate, ServiceName, Verdict, Version};
+use goldcresttally_core::{AccountName, NodeId, Rate, ServiceName, Verdict, Version};
 use http::StatusCode;
 
 use crate::errors::Reason;
@@ -17,6 +17,8 @@
     pub id: &'a str,
     /// The service, once the call is matched to a route.
     pub service: Option<&'a ServiceName>,
+    /// The account of the call, once it is known.
+    pub account: Option<&'a AccountName>,
     /// The configuration version that was in force when the call began.
     pub version: Version,
     /// The rank (0 is the most urgent) and latency target, once the call is matched to a route.
@@ -29,13 +31,16 @@
 
 impl fmt::Display for CallInfo<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { id, service, version, class, age, remaining } = self;
+        let Self { id, service, account, version, class, age, remaining } = self;
         let (age, remaining) = (age.as_millis(), remaining.as_millis());
         write!(f, "call={id} version={version} age_ms={age} left_ms={remaining}")?;
         if let Some((rank, target)) = class {
             write!(f, " rank={rank} target_ms={}", target.as_millis())?;
         }
-        service.map_or(Ok(()), |service| write!(f, " service={service}"))
+        if let Some(service) = service {
+            write!(f, " service={service}")?;
+        }
+        account.map_or(Ok(()), |account| write!(f, " account={account}"))
     }
 }
 
--- a/goldcresttally-proxy/src/conventions.rs
+++ b/goldcresttally-proxy/src/conventions.rs
@@ -1,5 +1,6 @@
 //! The headers and rules that callers, upstreams and this system use beyond plain HTTP.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use goldcresttally_core::{Rate, ServiceName};
@@ -27,6 +28,13 @@
     pub leaving: Option<HeaderName>,
     /// Tells the upstream which service runs beside the node at which the call entered.
     pub caller_service: Option<HeaderName>,
+    /// The key of the caller's account, from callers only.
+    pub account_key: Option<HeaderName>,
+    /// The authentication scheme before the key, without regard to case; the whole value is the key
+    /// when `None`.
+    pub account_key_scheme: Option<Arc<str>>,
+    /// Tells the upstream the name of the caller's account.
+    pub account: Option<HeaderName>,
     /// Must be set on successful responses; one without it does not come from the upstream.
     pub signature: Option<HeaderName>,
     /// Whether the end of the connection may mark the end of a response. A reset connection still
@@ -96,6 +104,9 @@
             rate_limit: None,
             leaving: None,
             caller_service: None,
+            account_key: None,
+            account_key_scheme: None,
+            account: None,
             signature: None,
             close_delimited: false,
             fractional_retry_after: false,
--- a/goldcresttally-proxy/src/counters.rs
+++ b/goldcresttally-proxy/src/counters.rs
@@ -54,6 +54,8 @@
     settled,
     /// Calls refused by the throttle at the entry.
     throttled,
+    /// Calls refused because they had no known key of an account.
+    unknown_keys,
     /// Links that went silent and were replaced.
     silent_links,
     /// Attempts that arrived at this node to run at its upstreams.
--- a/goldcresttally-proxy/src/entry/attempt.rs
+++ b/goldcresttally-proxy/src/entry/attempt.rs
@@ -255,7 +255,7 @@
     /// Sets the headers with the service, the rank and the target of the call.
     pub(super) fn set_class_headers(&self, map: &mut http::HeaderMap) {
         headers::set(map, headers::SERVICE, &self.service.name);
-        headers::set(map, headers::RANK, &self.route.rank.name);
+        headers::set(map, headers::RANK, &self.rank.name);
         headers::set(map, headers::TARGET_MS, &self.route.target.as_millis());
         let on_time = self.on_time_by.remaining(self.entry.state.clock.now()).as_millis();
         headers::set_unindexed(map, headers::ON_TIME_MS, &on_time);
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use goldcresttally_config::{KeyPolicy, Route, Service};
+use goldcresttally_config::{Account, KeyPolicy, Rank, Route, Service};
 use goldcresttally_core::{AttemptId, Deadline, MonoTime, NodeId};
 use goldcresttally_routing::{
     AttemptFailure, AttemptLimits, BudgetOptions, CallAttempts, Endpoint, RetryBudget, Throttle,
@@ -16,6 +16,7 @@
 use hyper::body::Body;
 
 use super::Entry;
+use super::account;
 use super::hedging::Suspicion;
 use crate::body::{CallBody, ReplayableBody, boxed};
 use crate::call_log::{CallEvent, CallInfo};
@@ -42,6 +43,10 @@
     pub route: Arc<Route>,
     /// The service that runs the call, chosen from the route's traffic split.
     pub service: Arc<Service>,
+    /// The account of the call; `None` if the document has none, or the route is public.
+    pub account: Option<Arc<Account>>,
+    /// The rank of the call: that of its account, or else that of its route.
+    pub rank: Arc<Rank>,
     /// The configuration in force when the call began, used until it ends.
     config: Arc<ActiveConfig>,
     pub parts: Parts,
@@ -64,8 +69,8 @@
 impl Call {
     /// Matches a request to its route and validates all but its body.
     ///
-    /// Fails with the verdict `NotRun` if the request is malformed, has no route, lacks a required
-    /// idempotency key, or cannot be completed before this node stops.
+    /// Fails with the verdict `NotRun` if the request is malformed, has no route, lacks the key of
+    /// an account or a required idempotency key, or cannot be completed before this node stops.
     pub fn resolve(
         entry: &Arc<Entry>,
         req: Request<CallBody>,
@@ -88,6 +93,9 @@
             return Err(CallError::not_run(reason));
         };
         let route = Arc::clone(route);
+        let account = account::identify(&entry.state, &config, &route, &parts.headers)?;
+        let rank = account.as_ref().and_then(|account| account.rank.as_ref());
+        let rank = Arc::clone(rank.unwrap_or(&route.rank));
         let conventions = &entry.state.conventions;
         let requested = headers::time_left(&parts.headers, &conventions.deadline_ms);
         let service = Arc::clone(route.split.next(entry.split_offset));
@@ -108,14 +116,27 @@
         headers::strip_hop_by_hop(&mut parts.headers);
         parts.headers.remove(EXPECT);
         conventions.set_on_entry(&mut parts.headers);
+        account::replace_headers(conventions, &config, account.as_deref(), &mut parts.headers);
         let key = match (route.key, key) {
             (KeyPolicy::None, _) | (KeyPolicy::Optional, None) => None,
             (KeyPolicy::Required, None) => return Err(CallError::not_run(Reason::KeyMissing)),
             (KeyPolicy::Optional | KeyPolicy::Required, key) => key,
         };
         let entry = Arc::clone(entry);
-        let call =
-            Self { entry, route, service, config, parts, host, key, started, deadline, on_time_by };
+        let call = Self {
+            entry,
+            route,
+            service,
+            account,
+            rank,
+            config,
+            parts,
+            host,
+            key,
+            started,
+            deadline,
+            on_time_by,
+        };
         Ok((call, body))
     }
 
@@ -154,8 +175,9 @@
         CallInfo {
             id: self.entry.state.conventions.id_of(&self.parts.headers),
             service: Some(&self.service.name),
+            account: self.account.as_ref().map(|account| &account.name),
             version: self.config.snapshot.version(),
-            class: Some((self.route.rank.index, self.route.target)),
+            class: Some((self.rank.index, self.route.target)),
             age: now.since(self.started),
             remaining: self.deadline.remaining(now),
         }
@@ -323,7 +345,7 @@
 
     /// Returns the key of this call's class, made of its rank and target.
     pub fn class_key(&self) -> u32 {
-        class_key_of(&self.route)
+        class_key(self.rank.index, self.route.target.as_millis() as u64)
     }
 
     /// Returns the key of this call's throttle. Calls that are already late on arrival have a
@@ -365,10 +387,6 @@
     Duration::from_millis(fastrand::u64(0..=MAX_RETRY_JITTER_MS))
 }
 
-fn class_key_of(route: &Route) -> u32 {
-    class_key(route.rank.index, route.target.as_millis() as u64)
-}
-
 fn host_of(parts: &Parts) -> String {
     let header = parts.headers.get(http::header::HOST).and_then(|v| v.to_str().ok());
     let authority = parts.uri.authority().map(http::uri::Authority::as_str);
--- a/goldcresttally-proxy/src/entry/feedback.rs
+++ b/goldcresttally-proxy/src/entry/feedback.rs
@@ -119,7 +119,7 @@
 
     /// Returns a guard that counts an attempt as in flight.
     pub(super) fn track_in_flight(&self, attempt: &Attempt) -> InFlightGuard {
-        InFlightGuard::start(attempt.endpoint.clone(), self.route.rank.index, self.route.target)
+        InFlightGuard::start(attempt.endpoint.clone(), self.rank.index, self.route.target)
     }
 
     /// Returns the properties of the call that endpoint selection takes into account.
@@ -127,7 +127,7 @@
         let bytes = self.limits().and_then(|limits| limits.bytes.get(self.class_key()));
         PickRequest {
             now,
-            rank: self.route.rank.index,
+            rank: self.rank.index,
             target: self.route.target,
             on_time_by: self.on_time_by,
             bytes: bytes.unwrap_or(0),
--- a/goldcresttally-proxy/src/entry/keyed.rs
+++ b/goldcresttally-proxy/src/entry/keyed.rs
@@ -238,7 +238,12 @@
     }
 
     fn claim_row(&self, key: &HeaderValue) -> String {
-        format!("claim/{}/{}", self.service.name, Digest::of(key.as_bytes()))
+        let (service, key) = (&self.service.name, Digest::of(key.as_bytes()));
+        // Accounts choose their keys independently of each other.
+        match &self.account {
+            Some(account) => format!("claim/{service}/{}/{key}", account.name),
+            None => format!("claim/{service}/{key}"),
+        }
     }
 }
 
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Ingress side of a node: accepts a caller's call, routes it, picks the node that runs it,
 //! retries, and settles attempts whose connection broke.
 
+mod account;
 mod attempt;
 mod call;
 mod feedback;
@@ -112,6 +113,7 @@
                 let call = CallInfo {
                     id: &id,
                     service: None,
+                    account: None,
                     version: self.state.active_config().snapshot.version(),
                     class: None,
                     age: Duration::ZERO,
@@ -168,6 +170,9 @@
         let after = error.retry_after.unwrap_or_else(|| default_retry_after(error.reason));
         let mut response = error.into_response();
         response.headers_mut().remove(headers::RETRY_AFTER_MS);
+        if reason == Reason::UnknownKey {
+            account::set_challenge(&self.state.conventions, response.headers_mut());
+        }
         if status == StatusCode::SERVICE_UNAVAILABLE {
             let text = self.state.conventions.retry_after(after);
             headers::set(response.headers_mut(), RETRY_AFTER, &text);
@@ -182,9 +187,8 @@
         latency: Duration,
     ) {
         let answered = result.as_ref().is_ok_and(|r| !r.status().is_server_error());
-        let rank = &call.route.rank;
         let good = answered && latency <= call.route.target;
-        self.recorder.record(&call.service.name, &rank.name, latency, good);
+        self.recorder.record(&call.service.name, &call.rank.name, latency, good);
     }
 }
 
--- a/goldcresttally-proxy/src/errors.rs
+++ b/goldcresttally-proxy/src/errors.rs
@@ -98,6 +98,8 @@
     RequestTimeout = "request-timeout" => REQUEST_TIMEOUT,
     /// The route requires an idempotency key.
     KeyMissing = "key-missing" => BAD_REQUEST,
+    /// The route needs the key of an account, and the call has none or an unknown one.
+    UnknownKey = "unknown-key" => UNAUTHORIZED,
     /// The key was used for a different request.
     KeyReused = "key-reused" => UNPROCESSABLE_ENTITY,
     /// The first call with this key has not ended.
--- a/goldcresttally-proxy/src/peer/reserve.rs
+++ b/goldcresttally-proxy/src/peer/reserve.rs
@@ -49,6 +49,7 @@
         let call = CallInfo {
             id: state.conventions.id_of(map),
             service: Some(&info.service),
+            account: None,
             version: state.active_config().snapshot.version(),
             class: Some((info.rank, info.target)),
             age: Duration::ZERO,
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -272,6 +272,7 @@
         let call = CallInfo {
             id: &self.call_id,
             service: Some(&self.info.service),
+            account: None,
             version: state.active_config().snapshot.version(),
             class: Some((self.info.rank, self.info.target)),
             age: state.clock.now().since(self.started),
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -12,6 +12,23 @@
 
 use super::{ConventionSettings, Settings};
 
+/// Prefix of the headers that only this system may set.
+const INTERNAL_PREFIX: &str = "tally-";
+
+/// Headers that HTTP or this system gives another meaning, in lower case.
+const RESERVED_HEADERS: [&str; 10] = [
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
+
 /// The invalid key and a message.
 type CheckError = (String, String);
 
@@ -64,6 +81,40 @@
                 return invalid(&format!("conventions.{key}"), message);
             }
         }
+        self.check_account_headers()
+    }
+
+    /// Checks that nothing else reads, sets or removes the headers of accounts: a key must not be
+    /// logged or passed on, and a caller must not be able to set an account's name.
+    fn check_account_headers(&self) -> Result<(), CheckError> {
+        let c = &self.conventions;
+        let names = c.header_names();
+        for key in ["account_key_header", "account_header"] {
+            let Some((_, Some(name))) = names.iter().find(|(other, _)| *other == key) else {
+                continue;
+            };
+            let key_path = format!("conventions.{key}");
+            let is_same = |other: Option<&str>| other.is_some_and(|n| n.eq_ignore_ascii_case(name));
+            let other = names.iter().find(|(other, value)| *other != key && is_same(*value));
+            if let Some((other, _)) = other {
+                return invalid(&key_path, format!("`{name}` is already used by {other}"));
+            }
+            let lowercase = name.to_ascii_lowercase();
+            let reserved = RESERVED_HEADERS.contains(&lowercase.as_str());
+            if reserved || lowercase.starts_with(INTERNAL_PREFIX) {
+                return invalid(&key_path, format!("`{name}` has another meaning"));
+            }
+        }
+        let Some(scheme) = &c.account_key_scheme else { return Ok(()) };
+        let is_token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+        if scheme.is_empty() || !scheme.bytes().all(is_token) {
+            let message = format!("`{scheme}` is not an authentication scheme, as in `Bearer`");
+            return invalid("conventions.account_key_scheme", message);
+        }
+        if c.account_key_header.is_none() {
+            let message = "needs conventions.account_key_header".to_owned();
+            return invalid("conventions.account_key_scheme", message);
+        }
         Ok(())
     }
 
@@ -79,6 +130,9 @@
             call_id: name(&c.call_id_header),
             target_instance: name(&c.target_instance_header),
             caller_service: name(&c.caller_service_header),
+            account_key: name(&c.account_key_header),
+            account_key_scheme: c.account_key_scheme.clone(),
+            account: name(&c.account_header),
             signature: name(&c.signature_header),
             health_instance: name(&c.health_instance_header),
             rate_limit: name(&c.rate_limit_header),
@@ -151,13 +205,15 @@
 
 impl ConventionSettings {
     /// Returns the keys of the header settings with their values.
-    fn header_names(&self) -> [(&'static str, Option<&str>); 9] {
+    fn header_names(&self) -> [(&'static str, Option<&str>); 11] {
         [
             ("deadline_header", self.deadline_header.as_deref()),
             ("not_run_header", self.not_run_header.as_deref()),
             ("call_id_header", self.call_id_header.as_deref()),
             ("target_instance_header", self.target_instance_header.as_deref()),
             ("caller_service_header", self.caller_service_header.as_deref()),
+            ("account_key_header", self.account_key_header.as_deref()),
+            ("account_header", self.account_header.as_deref()),
             ("signature_header", self.signature_header.as_deref()),
             ("health_instance_header", self.health_instance_header.as_deref()),
             ("rate_limit_header", self.rate_limit_header.as_deref()),
--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -197,6 +197,13 @@
     pub target_instance_header: Option<Arc<str>>,
     /// Request header that names the service beside which the call entered.
     pub caller_service_header: Option<Arc<str>>,
+    /// Request header with the key of the caller's account, which is not passed on.
+    pub account_key_header: Option<Arc<str>>,
+    /// Authentication scheme before the key, as in `Bearer KEY`; the whole header is the key if
+    /// absent.
+    pub account_key_scheme: Option<Arc<str>>,
+    /// Request header that names to the upstream the caller's account.
+    pub account_header: Option<Arc<str>>,
     /// Header that a successful answer must have to count as the upstream's.
     pub signature_header: Option<Arc<str>>,
     /// Header with which an upstream names its process in answers to health checks.
