Spawn the repeated calls in the test of account claims

Change: the repeated calls run in tasks, like the first ones. With the account taken out of the claim row the test fails (the second account's call never reaches the upstream); with the header set before hop-by-hop headers are removed, `upstreams_see_the_account_and_no_key` fails. Both were tried and undone.

--- a/goldcresttally-proxy/tests/account_claims.rs
+++ b/goldcresttally-proxy/tests/account_claims.rs
@@ -121,7 +121,8 @@
     }
     // A repeat gets the answer to the first call of its own account.
     for (account_key, answer) in [(Some("key-acme"), "a"), (Some("key-other"), "b"), (None, "c")] {
-        let response = within(Arc::clone(&entry).handle(request(account_key))).await;
+        let call = tokio::spawn(Arc::clone(&entry).handle(request(account_key)));
+        let response = within(call).await.unwrap();
         assert!(response.headers().contains_key("tally-replayed"));
         assert_eq!(body_of(response).await, answer);
     }
