Tests: a fleet under overload in simulated time

Cause: what callers get under an overload depends on the picker, the throttles, the attempt rules and the admission together, and on nested calls that hold a slot of their caller. No test played them together.

It is deterministic by seed; tests/rush_outcomes checks that and prints the outcomes by class.

--- /dev/null
+++ b/goldcresttally-admission/tests/rush_outcomes.rs
@@ -0,0 +1,38 @@
+//! Guards against an overload in which callers get late answers and late refusals, and runs are
+//! wasted because the calls that they make find no room.
+
+mod rush_fleet;
+
+use rush_fleet::{Fleet, Outcomes, Scenario};
+
+/// Adds up the outcomes of a scenario over some seeds, and prints them.
+fn run(scenario: &Scenario, seeds: std::ops::Range<u64>) -> Vec<Outcomes> {
+    let mut sums = vec![Outcomes::default(); scenario.classes.len()];
+    for seed in seeds {
+        for (sum, part) in sums.iter_mut().zip(Fleet::run(scenario.clone(), seed)) {
+            sum.add(&part);
+        }
+    }
+    for (class, sum) in scenario.classes.iter().zip(&sums) {
+        println!("{:7} {sum}", class.name);
+    }
+    sums
+}
+
+#[test]
+fn every_call_ends_and_runs_repeat() {
+    let scenario = Scenario { seconds: 1, ..Scenario::heavy_day() };
+    let first = run(&scenario, 1..2);
+    let second = run(&scenario, 1..2);
+    for (a, b) in first.iter().zip(&second) {
+        assert_eq!(a.to_string(), b.to_string(), "a run depends only on its seed");
+        let ended = a.on_time + a.late + a.refused_at_once + a.refused_late + a.failed + a.held;
+        assert_eq!(ended, a.asked);
+    }
+}
+
+#[test]
+fn heavy_day_without_rush_control() {
+    let outcomes = run(&Scenario::heavy_day(), 1..4);
+    assert!(outcomes[0].asked > 10_000);
+}
