Overload: a node short of processor time refuses calls before it works on them

Cause: a node that begins work on every call makes each wait behind all others. Slowed by a quarter, it answers almost nothing in time.

Change, behind requests.rush_control: a probe that is due every 20 ms on each thread that serves calls measures for how long tasks wait for the processor. admission::processor raises the share of calls that is refused while the lesser of the last two delays is above 10 ms, and lowers it below. A single pause, or a quota that is used up in each period, delays one probe and refuses nothing. Late calls are refused first, then new calls from the least urgent rank on, then nested ones; besides, any call that four such delays would make late. The entry refuses before it reads the body or makes an attempt; the peer refuses attempts of other nodes before it reads their body or enters them in the ledger, and reports no free slots. Counter processor_refused, log lines E2015 and E2017.

--- a/goldcresttally-proxy/src/call_log.rs
+++ b/goldcresttally-proxy/src/call_log.rs
@@ -83,6 +83,13 @@
         /// Time after which there is expected to be room.
         retry_after: Duration,
     },
+    /// The call or attempt was refused because this node is short of processor time.
+    NoProcessorTime {
+        /// Whether it is a nested call.
+        nested: bool,
+        /// Time after which there is expected to be some.
+        retry_after: Duration,
+    },
     /// At the upstream's node: the upstream has named another rate limit, or ended it.
     UpstreamLimited {
         /// The limit; `None` if there is none any more.
@@ -129,6 +136,9 @@
             Self::NoRoom { attempts, retry_after } => {
                 write!(f, "attempts={attempts} retry_after_ms={}", retry_after.as_millis())
             }
+            Self::NoProcessorTime { nested, retry_after } => {
+                write!(f, "nested={nested} retry_after_ms={}", retry_after.as_millis())
+            }
             Self::UpstreamLimited { rate: Some(rate) } => write!(f, "limit={rate}"),
             Self::UpstreamLimited { rate: None } => f.write_str("limit=-"),
             Self::UpstreamLeaving => f.write_str("leaving=true"),
--- a/goldcresttally-proxy/src/counters.rs
+++ b/goldcresttally-proxy/src/counters.rs
@@ -68,6 +68,8 @@
     ejections,
     /// Calls refused at the entry because no endpoint could start them in time, by the reports.
     rush_refused,
+    /// Calls and attempts refused because this node was short of processor time.
+    processor_refused,
     /// Calls attempted once more after a refusal, where a report told of room.
     rush_repeated,
     /// Calls not attempted again after a refusal, because no report told of room.
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use goldcresttally_admission::CallUrgency;
 use goldcresttally_config::{KeyPolicy, Route, Service};
 use goldcresttally_core::{AttemptId, Deadline, MonoTime, NodeId};
 use goldcresttally_routing::{
@@ -126,6 +127,7 @@
         body: CallBody,
         tries: &mut CallAttempts,
     ) -> Result<Response<CallBody>, CallError> {
+        self.check_processor()?;
         self.check_limits()?;
         self.check_room()?;
         let limit = self.config.snapshot.limits().max_body_bytes;
@@ -344,6 +346,30 @@
         self.with_room(|room| room.another_attempt(tries).map(|endpoint| endpoint.node))
     }
 
+    /// Refuses the call before any work is done for it if this node is short of processor time.
+    fn check_processor(&self) -> Result<(), CallError> {
+        if !self.rush_control() {
+            return Ok(());
+        }
+        let state = &self.entry.state;
+        let now = state.clock.now();
+        let nested = self.with_room(|room| room.is_nested());
+        let late = self.on_time_by.is_past(now);
+        let useful_until = if nested || late { self.deadline } else { self.on_time_by };
+        let urgency = CallUrgency {
+            rank: self.route.rank.index,
+            nested,
+            late,
+            time_left: useful_until.remaining(now),
+        };
+        state.processor.admit(now, &urgency).map_err(|retry_after| {
+            state.counters.processor_refused.increment();
+            self.log(CallEvent::NoProcessorTime { nested, retry_after });
+            let retry_after = Some(retry_after);
+            CallError { retry_after, ..CallError::not_run(Reason::Overloaded) }
+        })
+    }
+
     /// Refuses the call before anything else is done for it if no endpoint can start it in time.
     fn check_room(&self) -> Result<(), CallError> {
         if !self.rush_control() || self.with_room(|room| room.is_reachable()) {
--- a/goldcresttally-proxy/src/lib.rs
+++ b/goldcresttally-proxy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod headers;
 pub mod link;
 pub mod peer;
+pub mod processor;
 pub mod server;
 pub mod service;
 pub mod state;
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod health;
 mod limiter;
+mod processor;
 mod read_budget;
 mod reserve;
 mod run;
@@ -224,6 +225,9 @@
             Ok(info) => info,
             Err(error) => return error.into_response(),
         };
+        if let Some(refusal) = self.refuse_if_short(&info, req.headers()) {
+            return refusal;
+        }
         let granted = req.headers().contains_key(headers::GRANTED);
         // The grant may have ended while this process or the sender was paused.
         if granted && !self.transfers.is_granted(info.attempt) {
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::conventions::Conventions;
 use crate::counters::Counters;
+use crate::processor::Processor;
 
 /// The identity of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -117,6 +118,8 @@
     superseded_by: AtomicU64,
     /// What the upstreams beside other nodes have said about themselves.
     pub notices: Notices,
+    /// Whether this node is short of processor time.
+    pub processor: Processor,
 }
 
 impl NodeState {
@@ -147,6 +150,7 @@
             sequence: AtomicU64::new(0),
             superseded_by: AtomicU64::new(0),
             notices: Notices::default(),
+            processor: Processor::default(),
         }
     }
 
--- a/goldcresttally-proxy/tests/common/mod.rs
+++ b/goldcresttally-proxy/tests/common/mod.rs
@@ -28,6 +28,7 @@
 pub const CALL_ID: &str = "call-id";
 
 const NODE: &str = "127.0.0.1:1";
+const OTHER_NODE: &str = "127.0.0.1:2";
 
 /// A peer whose only upstream is a listener of the test.
 pub struct PeerFixture {
@@ -35,6 +36,8 @@
     /// Time added to the peer's clock, in microseconds.
     pub clock_offset_us: &'static AtomicU64,
     upstream: TcpListener,
+    /// The node that sends the attempts.
+    origin: &'static str,
 }
 
 impl PeerFixture {
@@ -44,6 +47,19 @@
 
     /// Starts a peer whose upstream follows `conventions`.
     pub async fn start_with(conventions: Conventions) -> Self {
+        Self::start_peer(conventions, NODE, false).await
+    }
+
+    /// Starts a peer with rush control that gets its attempts from another node.
+    pub async fn start_with_rush_control() -> Self {
+        Self::start_peer(Conventions::default(), OTHER_NODE, true).await
+    }
+
+    async fn start_peer(
+        conventions: Conventions,
+        origin: &'static str,
+        rush_control: bool,
+    ) -> Self {
         let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let node = NODE.parse().unwrap();
         let peer_address: SocketAddr = NODE.parse().unwrap();
@@ -53,7 +69,8 @@
         let state = NodeState::new(identity, clock, conventions, Arc::new(NoopCallLog));
         let transport = Arc::new(TcpTransport::new(None));
         let tasks = TaskTracker::new();
-        let peer = Peer::new(Arc::new(state), transport, tasks, Policy::default(), false);
+        let peer = Peer::new(Arc::new(state), transport, tasks, Policy::default(), false)
+            .with_rush_control(rush_control);
         peer.set_upstreams(&[LocalUpstream {
             service: "booking".parse().unwrap(),
             address: upstream.local_addr().unwrap(),
@@ -62,7 +79,7 @@
             instance: None,
             generation: Generation(0),
         }]);
-        Self { peer: Arc::new(peer), clock_offset_us, upstream }
+        Self { peer: Arc::new(peer), clock_offset_us, upstream, origin }
     }
 
     /// Sends a message about the attempt `sequence` to the peer, as an entry would; `left` is the
@@ -101,7 +118,7 @@
         }
         let fields = [
             ("tally-op", op.to_owned()),
-            ("tally-attempt", format!("{NODE}/1/{sequence}")),
+            ("tally-attempt", format!("{}/1/{sequence}", self.origin)),
             ("tally-generation", "1".to_owned()),
             ("tally-service", "booking".to_owned()),
             ("tally-rank", "urgent".to_owned()),
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -77,7 +77,9 @@
     UPSTREAM_LIMITED = 2006 Info "upstream named another rate limit";
     UPSTREAM_LEAVING = 2007 Info "upstream says that it is leaving";
     LINK_FULL = 2008 Info "body refused: it cannot arrive over the link in time";
+    PROCESSOR_SHORT = 2015 Warn "node is short of processor time, or no longer is";
     NO_ROOM = 2016 Info "call refused: no upstream has room for it in time";
+    NO_PROCESSOR_TIME = 2017 Info "call refused: this node is short of processor time";
 }
 
 /// Maximum number of lines of one kind per window; further ones are suppressed and counted.
@@ -198,6 +200,7 @@
             CallEvent::UpstreamLeaving => UPSTREAM_LEAVING,
             CallEvent::LinkFull { .. } => LINK_FULL,
             CallEvent::NoRoom { .. } => NO_ROOM,
+            CallEvent::NoProcessorTime { .. } => NO_PROCESSOR_TIME,
         };
         emit(kind, format_args!("{call} {event}"));
     }
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! The node: starts, connects and stops its components.
 
+mod processor;
 mod stop;
 
 use std::io;
@@ -221,6 +222,12 @@
         self.peer_listeners.push(tokio::spawn(serve));
         let serve = operator::serve(operators, operator, stop.clone());
         self.listeners.push(tokio::spawn(serve));
+        if self.settings.requests.rush_control {
+            for handle in self.workers.handles() {
+                let probe = processor::probe(Arc::clone(&self.state), stop.clone());
+                self.listeners.push(handle.spawn(probe));
+            }
+        }
         if let Some(address) = self.settings.node.metrics {
             let (peer, recorder) = (Arc::clone(&self.peer), Arc::clone(&self.recorder));
             let stop = stop.clone();
