--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! The node: starts, connects and stops its components.
 
+mod processor;
 mod stop;
 
 use std::io;
@@ -119,7 +120,9 @@
             options.policy,
             settings.requests.redirects,
         );
-        let peer = Arc::new(peer.with_link(settings.node.link));
+        let peer = Arc::new(
+            peer.with_link(settings.node.link).with_rush_control(settings.requests.rush_control),
+        );
         let workers = Workers::start(settings.node.threads)?;
         let links = || {
             let links = LinkPool::new(Arc::clone(&state), Arc::clone(&transport), tasks.clone());
@@ -219,6 +222,12 @@
         self.peer_listeners.push(tokio::spawn(serve));
         let serve = operator::serve(operators, operator, stop.clone());
         self.listeners.push(tokio::spawn(serve));
+        if self.settings.requests.rush_control {
+            for handle in self.workers.handles() {
+                let probe = processor::probe(Arc::clone(&self.state), stop.clone());
+                self.listeners.push(handle.spawn(probe));
+            }
+        }
         if let Some(address) = self.settings.node.metrics {
             let (peer, recorder) = (Arc::clone(&self.peer), Arc::clone(&self.recorder));
             let stop = stop.clone();
