Tell the members again when an account has demand anew

Cause: a pool told the members once that deposits are sought. When it stopped seeking them, the members stopped, and were not told again while the pool still knew the account; 6 of 109 calls of a small account were refused. A rounding residue kept such accounts known for ever. Change: the mark is cleared when the pool no longer lists the account; residues are ignored. A request that is served draws only for its own accounts.

--- a/goldcresttally-quota/src/exchange.rs
+++ b/goldcresttally-quota/src/exchange.rs
@@ -186,7 +186,7 @@
     }
 
     fn is_idle(&self, now: MonoTime, window: Duration, view: &View) -> bool {
-        let asked = self.asked > 0.0 || view.waiting > 0.0;
+        let asked = self.asked >= 0.001 || view.waiting > 0.0;
         !asked && self.sought_until <= now && !self.is_sought(now, window, view.demanded_at)
     }
 }
@@ -334,20 +334,34 @@
         if request.kind == Kind::Deposit {
             response.sought = self.sought(now);
         }
-        if self.active.values().any(|active| active.pool_until > now) {
-            self.exchange(now, actions);
+        // Draws from other pools what is missing; the rest is left to the next tick.
+        let mut draws = BTreeMap::new();
+        for Amount { account, .. } in &request.wants {
+            let Some(active) = self.active.get(account).filter(|a| a.pool_until > now) else {
+                continue;
+            };
+            let view = active.bucket.lock().view(now);
+            self.draw_as_pool(now, account, &view, &mut draws);
         }
+        self.send_draws(now, draws, actions);
+        self.collect(now, actions);
         response
     }
 
     /// Returns the accounts for which this node seeks deposits.
-    fn sought(&self, now: MonoTime) -> Vec<AccountName> {
+    fn sought(&mut self, now: MonoTime) -> Vec<AccountName> {
         let window = self.quotas.window();
-        let sought = self.active.iter().filter(|(_, active)| {
+        let mut sought = Vec::new();
+        for (name, active) in &mut self.active {
             let demanded_at = active.bucket.lock().demanded_at();
-            active.is_sought(now, window, demanded_at)
-        });
-        sought.map(|(name, _)| name.clone()).take(MAX_ACCOUNTS_PER_MESSAGE).collect()
+            if !active.is_sought(now, window, demanded_at) {
+                // The members stop their deposits, so they must be told when there is demand again.
+                active.is_collected = false;
+            } else if sought.len() < MAX_ACCOUNTS_PER_MESSAGE {
+                sought.push(name.clone());
+            }
+        }
+        sought
     }
 
     fn activate(&mut self, account: &AccountName) -> Option<&mut Active> {
@@ -391,7 +405,8 @@
             return Some(grant(account, tokens, Duration::ZERO));
         }
         active.unmet.add(now, missing);
-        let is_collecting = sources > 0 || active.asked > 0.0 || self.to_collect.contains(account);
+        let is_collecting =
+            sources > 0 || active.asked >= 0.001 || self.to_collect.contains(account);
         let retry_after = if is_collecting {
             COLLECTING_RETRY
         } else {
@@ -574,10 +589,10 @@
         let mut draws: BTreeMap<NodeId, Vec<Amount>> = BTreeMap::new();
         let mut idle = Vec::new();
         let mut has_tokens_for_waiting = false;
-        let names: Vec<AccountName> = self.active.keys().cloned().collect();
-        for name in names {
-            let pool = self.members.own_pool(&name, |id| self.is_skipped(now, id));
-            let Some(active) = self.active.get_mut(&name) else { continue };
+        let mut as_pool = Vec::new();
+        for (name, active) in &mut self.active {
+            let skipped = |id| self.skipped.get(&id).is_some_and(|until| *until > now);
+            let pool = self.members.own_pool(name, skipped);
             let is_pool = pool == self.own || active.pool_until > now;
             let mut state = active.bucket.lock();
             state.set_pool(now, is_pool);
@@ -585,22 +600,22 @@
             has_tokens_for_waiting |= view.waiting > 0.0 && view.stock >= 1.0;
             if active.is_idle(now, window, &view) {
                 state.active = false;
-                idle.push(name);
+                idle.push(name.clone());
                 continue;
             }
             let filling_time = state.filling_time();
             drop(state);
             if is_pool {
-                self.draw_as_pool(now, &name, &view, &mut draws);
+                as_pool.push((name.clone(), view));
                 continue;
             }
             let batch = batches.entry(pool).or_default();
             if view.want > 0.0 {
                 batch.is_urgent |= now >= active.next_draw;
-                push(&mut batch.wants, &name, Tokens::at_least(view.want));
+                push(&mut batch.wants, name, Tokens::at_least(view.want));
             }
             if active.sought_until > now && view.spare >= 0.001 {
-                push(&mut batch.deposits, &name, Tokens::at_most(view.spare));
+                push(&mut batch.deposits, name, Tokens::at_most(view.spare));
                 let interval = batch.deposit_interval.unwrap_or(DEPOSIT_INTERVAL);
                 batch.deposit_interval = Some(interval.min(filling_time.mul_f64(DEPOSIT_FILL)));
             }
@@ -608,6 +623,9 @@
         for name in idle {
             self.active.remove(&name);
         }
+        for (name, view) in as_pool {
+            self.draw_as_pool(now, &name, &view, &mut draws);
+        }
         if has_tokens_for_waiting {
             actions.push(Action::Granted);
         }
@@ -615,9 +633,7 @@
         for (pool, batch) in batches {
             self.send_batch(now, pool, batch, actions);
         }
-        for (pool, wants) in draws {
-            self.send_draws(now, pool, wants, actions);
-        }
+        self.send_draws(now, draws, actions);
         self.collect(now, actions);
     }
 
@@ -703,12 +719,13 @@
     fn send_draws(
         &mut self,
         now: MonoTime,
-        pool: NodeId,
-        wants: Vec<Amount>,
+        draws: BTreeMap<NodeId, Vec<Amount>>,
         actions: &mut Vec<Action>,
     ) {
-        let request = Request { kind: Kind::Pool, deposits: Vec::new(), wants };
-        self.send(now, pool, request, actions);
+        for (pool, wants) in draws {
+            let request = Request { kind: Kind::Pool, deposits: Vec::new(), wants };
+            self.send(now, pool, request, actions);
+        }
     }
 
     /// Collects the tokens of accounts that have demand anew from the members of this domain.
--- a/goldcresttally-quota/tests/common/mod.rs
+++ b/goldcresttally-quota/tests/common/mod.rs
@@ -91,6 +91,7 @@
     pub now_us: u64,
     domains: usize,
     nodes: Vec<Node>,
+    index: BTreeMap<NodeId, usize>,
     limits: Vec<(AccountName, Limit)>,
     events: BTreeMap<(u64, u64), (usize, Delivery)>,
     serial: u64,
@@ -114,6 +115,7 @@
             now_us: 1_000_000,
             domains,
             nodes: Vec::new(),
+            index: BTreeMap::new(),
             limits: limits.to_vec(),
             events: BTreeMap::new(),
             serial: 0,
@@ -158,6 +160,7 @@
     pub fn add_node(&mut self) -> usize {
         let n = self.nodes.len();
         let (quotas, exchange) = self.fresh(n);
+        self.index.insert(node(n), n);
         self.nodes.push(Node {
             quotas,
             exchange,
@@ -290,7 +293,7 @@
                 Action::Send { id, to, request } => {
                     let process = self.nodes[n].process;
                     self.schedule(REQUEST_FAILS_US, n, Delivery::Fails { process, id });
-                    let Some(to) = (0..self.nodes.len()).find(|m| node(*m) == to) else { continue };
+                    let to = self.index[&to];
                     self.transmit(n, to, Delivery::Request { from: n, process, id, request });
                 }
                 Action::Granted => self.decide_waiting(n),
