Exchange tokens between nodes and take them for calls of accounts

Cause: the state machine of the limits had no driver, and no call took a token. Change: the message exchangeTokens states the kind of a request (the receiver must tell a node of its domain from another domain's pool); the control thread drives the exchange; a call of an account with a limit takes a token before its first attempt and is refused with 429 otherwise.

--- a/goldcresttally-distribution/src/topology.rs
+++ b/goldcresttally-distribution/src/topology.rs
@@ -63,6 +63,14 @@
         own.map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the members of every domain in order, ordered by domain.
+    pub fn domains(&self) -> Vec<(DomainId, Vec<NodeId>)> {
+        let mut domains: Vec<_> =
+            self.domains.iter().map(|(domain, ids)| (domain.clone(), ids.clone())).collect();
+        domains.sort_unstable();
+        domains
+    }
+
     /// Returns this node's position in its domain; 0 is the root of the tree.
     pub fn position(&self) -> usize {
         let own = self.own.as_ref().map(|own| own.id);
--- a/goldcresttally-proxy/src/counters.rs
+++ b/goldcresttally-proxy/src/counters.rs
@@ -56,6 +56,10 @@
     throttled,
     /// Calls refused because they had no known key of an account.
     unknown_keys,
+    /// Calls refused because they exceed the limit of their account.
+    over_limit,
+    /// Calls that waited for a token of their account.
+    token_waits,
     /// Links that went silent and were replaced.
     silent_links,
     /// Attempts that arrived at this node to run at its upstreams.
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -163,10 +163,15 @@
             Ok(Err(_)) => return Err(CallError::not_run(Reason::BadRequest)),
             Err(_) => return Err(CallError::not_run(Reason::RequestTimeout)),
         };
-        match &self.key {
+        let token = self.take_token().await?;
+        let result = match &self.key {
             Some(key) => self.run_keyed(key, &body, tries).await,
             None => self.run_unkeyed(&body, tries).await,
+        };
+        if let (Some(token), Err(error)) = (token, &result) {
+            token.settle(error.verdict);
         }
+        result
     }
 
     /// Returns the fields of the call for the call log.
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod feedback;
 mod hedging;
 mod keyed;
+mod quota;
 mod read_ahead;
 mod reserve;
 mod settle;
@@ -33,6 +34,7 @@
 use crate::state::NodeState;
 use attempt::ServedBy;
 use call::Call;
+pub use quota::AccountLimits;
 use read_ahead::ReadAhead;
 
 /// Default `Retry-After` when the configuration or all endpoints are missing, in milliseconds:
@@ -173,7 +175,7 @@
         if reason == Reason::UnknownKey {
             account::set_challenge(&self.state.conventions, response.headers_mut());
         }
-        if status == StatusCode::SERVICE_UNAVAILABLE {
+        if status == StatusCode::SERVICE_UNAVAILABLE || reason == Reason::OverLimit {
             let text = self.state.conventions.retry_after(after);
             headers::set(response.headers_mut(), RETRY_AFTER, &text);
         }
--- a/goldcresttally-proxy/src/errors.rs
+++ b/goldcresttally-proxy/src/errors.rs
@@ -94,6 +94,8 @@
     BadAnswer = "bad-answer" => BAD_GATEWAY,
     /// The caller's request was truncated or malformed.
     BadRequest = "bad-request" => BAD_REQUEST,
+    /// The call exceeds the limit of its account.
+    OverLimit = "over-limit" => TOO_MANY_REQUESTS,
     /// The caller's request did not arrive by its deadline.
     RequestTimeout = "request-timeout" => REQUEST_TIMEOUT,
     /// The route requires an idempotency key.
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::conventions::Conventions;
 use crate::counters::Counters;
+use crate::entry::AccountLimits;
 
 /// The identity of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -115,6 +116,7 @@
     calls_in_flight: AtomicUsize,
     sequence: AtomicU64,
     superseded_by: AtomicU64,
+    limits: Option<AccountLimits>,
     /// What the upstreams beside other nodes have said about themselves.
     pub notices: Notices,
 }
@@ -146,10 +148,22 @@
             calls_in_flight: AtomicUsize::new(0),
             sequence: AtomicU64::new(0),
             superseded_by: AtomicU64::new(0),
+            limits: None,
             notices: Notices::default(),
         }
     }
 
+    /// Enforces the limits of accounts.
+    #[must_use]
+    pub fn with_account_limits(self, limits: AccountLimits) -> Self {
+        Self { limits: Some(limits), ..self }
+    }
+
+    /// Returns the limits of accounts; `None` if they are not enforced.
+    pub fn account_limits(&self) -> Option<&AccountLimits> {
+        self.limits.as_ref()
+    }
+
     /// Returns the configuration in force. A call uses the one that it began with until it ends.
     pub fn active_config(&self) -> Arc<ActiveConfig> {
         self.config.load_full()
--- a/goldcresttally-quota/src/exchange.rs
+++ b/goldcresttally-quota/src/exchange.rs
@@ -60,6 +60,9 @@
 /// Time for which the stock of a pool suffices at the current grants, in seconds.
 const POOL_RESERVE_S: f64 = 0.1;
 
+/// Interval at which the number of nodes that accrue is computed without a change of the members.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Maximum number of accounts in one list of a message.
 const MAX_ACCOUNTS_PER_MESSAGE: usize = 512;
 
@@ -225,6 +228,7 @@
     own: NodeId,
     members: Members,
     shares: Shares,
+    next_refresh: Deadline,
     active: BTreeMap<AccountName, Active>,
     in_flight: BTreeMap<RequestId, InFlight>,
     links: Map<(NodeId, Kind), Link>,
@@ -247,6 +251,7 @@
             own,
             members: Members::new(own, domain),
             shares: Shares::default(),
+            next_refresh: Deadline(MonoTime(0)),
             active: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             links: Map::default(),
@@ -274,7 +279,10 @@
         self.last_event = now;
         match event {
             Event::Tick => {}
-            Event::Members(view) => self.members.update(now, view),
+            Event::Members(view) => {
+                self.members.update(now, view);
+                self.next_refresh = Deadline(now);
+            }
             Event::Limits(limits) => self.on_limits(now, &limits),
             Event::Responded(id, response) => self.on_response(now, id, response, actions),
             Event::Failed(id) => self.on_failed(now, id, actions),
@@ -295,6 +303,10 @@
     }
 
     fn refresh_shares(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        if !self.next_refresh.is_past(now) {
+            return;
+        }
+        self.next_refresh = Deadline::after(now, REFRESH_INTERVAL);
         let shares = self.members.shares(now);
         if shares == self.shares {
             return;
--- a/goldcresttally-wire/schema/wire.capnp
+++ b/goldcresttally-wire/schema/wire.capnp
@@ -119,6 +119,17 @@
   # Thousandths of a call.
 }
 
+enum TokenRequestKind {
+  draw @0;
+  # A node asks its pool for tokens.
+  deposit @1;
+  # A node deposits tokens with its pool, and asks which deposits are sought.
+  pool @2;
+  # A pool asks the pool of another failure domain for tokens.
+  collect @3;
+  # A pool asks a member of its failure domain for all that it does not need.
+}
+
 struct TokenGrant {
   account @0 :Text;
   milli @1 :UInt64;
@@ -187,7 +198,7 @@
 
   ping @6 () -> ();
 
-  exchangeTokens @7 (deposits :List(AccountTokens), wants :List(AccountTokens)) -> (grants :List(TokenGrant), sought :List(Text));
+  exchangeTokens @7 (deposits :List(AccountTokens), wants :List(AccountTokens), kind :TokenRequestKind) -> (grants :List(TokenGrant), sought :List(Text));
   # Deposits are tokens that the sender has given up; sought are accounts for which deposits are
   # needed.
 
--- a/goldcresttally-wire/src/lib.rs
+++ b/goldcresttally-wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`wire_capnp`]: the code generated from `schema/wire.capnp`.
 //! * [`record`]: conversion of membership records.
 //! * [`datagram`]: encoding and decoding of membership datagrams.
+//! * [`tokens`]: conversion of the messages that move tokens of accounts.
 //! * [`update`]: conversion of version updates.
 //! * [`errors`]: the error type of this crate.
 
@@ -11,6 +12,7 @@
 pub mod errors;
 mod generated;
 pub mod record;
+pub mod tokens;
 pub mod update;
 
 pub use errors::{Error, Result};
--- a/goldcresttallyd/src/control/connections.rs
+++ b/goldcresttallyd/src/control/connections.rs
@@ -15,8 +15,9 @@
 use goldcresttally_membership::Record;
 use goldcresttally_proxy::Transport;
 use goldcresttally_proxy::claims::ClaimWriteOutcome;
+use goldcresttally_quota::{Request as TokenRequest, Response as TokenResponse};
 use goldcresttally_wire::wire_capnp::{claim_result, control};
-use goldcresttally_wire::{reader_options, record, update};
+use goldcresttally_wire::{reader_options, record, tokens, update};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
@@ -190,6 +191,15 @@
         })
     }
 
+    /// Sends a request to exchange tokens of accounts, once.
+    pub async fn exchange_tokens(&self, to: NodeId, sent: &TokenRequest) -> Result<TokenResponse> {
+        let client = self.client(to).await?;
+        let mut request = client.exchange_tokens_request();
+        tokens::write_request(sent, request.get());
+        let response = self.await_response(to, request.send().promise).await?;
+        Ok(tokens::read_response(response.get()?)?)
+    }
+
     /// Waits for a response; closes the connection if there is none in time or it is disconnected.
     async fn await_response<T>(
         &self,
--- a/goldcresttallyd/src/control/distribution.rs
+++ b/goldcresttallyd/src/control/distribution.rs
@@ -60,6 +60,8 @@
         let version = bundle.version();
         let sections = bundle.sections();
         let built = self.section_cache.borrow_mut().build(&*self.format, version, &sections);
+        // The limits must be known before the first call of an account that they are new for.
+        let built = built.inspect(|snapshot| self.publish_limits(snapshot));
         match built.map(|snapshot| self.peer.state().install(snapshot)) {
             Ok(true) => {
                 self.log_installed(version);
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -13,6 +13,7 @@
 use goldcresttally_proxy::claims::ClaimWriteOutcome;
 use goldcresttally_proxy::link::LinkPool;
 use goldcresttally_proxy::{Peer, Transport};
+use goldcresttally_quota::Exchange;
 use goldcresttally_store::{DocumentSource, NodeDirectory, TableStore};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
@@ -86,6 +87,8 @@
     pub failed_joins: Cell<u32>,
     /// The last second in which joins were requested of this node, and their number.
     pub join_window: Cell<(u64, u32)>,
+    /// Moves the tokens of accounts; `None` if their limits are not enforced.
+    pub exchange: Option<RefCell<Exchange>>,
     /// The reason why a version was refused last.
     pub refusal: RefCell<Option<Arc<str>>>,
 }
@@ -100,6 +103,10 @@
             link: config.own.link,
             ..distribution::Peer::new(id, config.own.domain.clone())
         };
+        let exchange = config.peer.state().account_limits().map(|limits| {
+            let quotas = Arc::clone(&limits.quotas);
+            RefCell::new(Exchange::new(quotas, id, config.own.domain.clone()))
+        });
         let rate = goldcresttally_core::Rate(settings.requests.claim_writes_per_second);
         let options = distribution::Options {
             long_poll: config.source.has_feed(),
@@ -145,6 +152,7 @@
             joining: Cell::new(false),
             failed_joins: Cell::new(0),
             join_window: Cell::new((0, 0)),
+            exchange,
             refusal: RefCell::new(None),
             settings,
         })
@@ -153,6 +161,7 @@
     /// Runs the event loop until the node stops.
     pub async fn run(self: &Rc<Self>, mut commands: mpsc::Receiver<Command>) {
         self.tasks.spawn(Rc::clone(self).maintain_directory());
+        self.tasks.spawn(Rc::clone(self).exchange_when_wanted());
         let mut tick = tokio::time::interval(Duration::from_millis(TICK_INTERVAL_MS));
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut buf = vec![0; DATAGRAM_BUFFER_BYTES];
@@ -199,6 +208,7 @@
         self.drain_leaving();
         self.join_if_due();
         self.write_claims_if_due();
+        self.on_exchange(goldcresttally_quota::Event::Tick);
         self.peer.tick();
         let now = self.now();
         if self.next_suppression_report.get().is_past(now) {
--- a/goldcresttallyd/src/control/mod.rs
+++ b/goldcresttallyd/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod membership;
 mod metered;
 mod publish;
+mod quota;
 mod run;
 mod server;
 mod tasks;
--- a/goldcresttallyd/src/control/publish.rs
+++ b/goldcresttallyd/src/control/publish.rs
@@ -28,8 +28,9 @@
                 link: r.link,
                 stays: r.status == Status::Alive && !r.leaving,
             };
-            (others.map(peer).collect(), records)
+            (others.map(peer).collect::<Vec<_>>(), records)
         };
+        self.publish_to_exchange(&peers);
         self.on_distribution(distribution::Event::MembersChanged(peers));
         let live: Set<_> = records.iter().map(|r| r.peer).collect();
         self.links.iter().for_each(|links| links.retain(|to| live.contains(to)));
--- a/goldcresttallyd/src/control/server.rs
+++ b/goldcresttallyd/src/control/server.rs
@@ -15,7 +15,7 @@
 use goldcresttally_membership as members;
 use goldcresttally_proxy::claims::ClaimWriteOutcome;
 use goldcresttally_wire::wire_capnp::control;
-use goldcresttally_wire::{reader_options, record, update};
+use goldcresttally_wire::{reader_options, record, tokens, update};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
@@ -242,6 +242,18 @@
         Ok(())
     }
 
+    async fn exchange_tokens(
+        self: Rc<Self>,
+        params: control::ExchangeTokensParams,
+        mut results: control::ExchangeTokensResults,
+    ) -> Result<(), Error> {
+        let control = self.control()?;
+        let request = tokens::read_request(params.get()?).map_err(|e| invalid_message(&e))?;
+        let response = control.serve_tokens(&request);
+        tokens::write_response(&response, results.get());
+        Ok(())
+    }
+
     async fn ping(
         self: Rc<Self>,
         _params: control::PingParams,
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -68,6 +68,8 @@
     CLAIM_WRITE_FAILED = 1501 Warn "claims could not be written";
     CONTROL_CLOSED = 1601 Debug "control connection closed";
     CONTROL_SILENT = 1602 Warn "control connection silent: closed";
+    TOKENS_ACCRUING = 1603 Info "tokens of accounts accrue: the number of nodes is known";
+    POOL_SKIPPED = 1604 Info "node did not respond to an exchange of tokens: skipped for 2 s";
     METRICS_FAILED = 1701 Warn "metrics could not be sent";
     CALL_FAILED = 2001 Info "call ended without an upstream's answer";
     CALL_UPSTREAM_FAILED = 2002 Info "call ended with an upstream's failure";
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -106,6 +106,10 @@
         let call_log = Arc::new(events::CallEventLog);
         let clock = options.clock.unwrap_or_else(Clock::start);
         let state = NodeState::new(identity, clock, settings.conventions(), call_log);
+        let state = match settings.account_limits() {
+            Some(limits) => state.with_account_limits(limits),
+            None => state,
+        };
         let state = Arc::new(state);
         state.set_retry_allowance(settings.retry_allowance());
         let tasks = TaskTracker::new();
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -6,6 +6,8 @@
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership as membership;
 use goldcresttally_proxy::Conventions;
+use goldcresttally_proxy::entry::AccountLimits;
+use goldcresttally_quota as quota;
 use goldcresttally_routing::BudgetOptions;
 use goldcresttally_routing::RetryAllowance;
 use http::HeaderName;
@@ -70,6 +72,14 @@
                 return invalid(key, format!("`{value}` is not in the range from 0 to {max}"));
             }
         }
+        let q = &self.quotas;
+        if !(0.0..=1e6).contains(&q.slack) {
+            return invalid(
+                "quotas.slack",
+                format!("`{}` is not in the range from 0 to 1000000", q.slack),
+            );
+        }
+        in_range("quotas.window_ms", q.window_ms, 1000, 60_000)?;
         self.check_headers()?;
         in_range("node.threads", self.node.threads as u64, 0, 64)
     }
@@ -156,6 +166,13 @@
         }
     }
 
+    /// Returns the limits of accounts; `None` if they are not enforced.
+    pub fn account_limits(&self) -> Option<AccountLimits> {
+        let q = &self.quotas;
+        let options = quota::Options { slack: q.slack, window: Duration::from_millis(q.window_ms) };
+        q.enabled.then(|| AccountLimits::new(Arc::new(quota::Quotas::new(options))))
+    }
+
     fn check_addresses(&self) -> Result<(), CheckError> {
         let node = &self.node;
         let listeners = [
--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -30,6 +30,9 @@
     /// Shutdown, claims and retries of requests.
     #[serde(default)]
     pub requests: RequestSettings,
+    /// Limits of accounts over all nodes.
+    #[serde(default)]
+    pub quotas: QuotaSettings,
     /// HTTP conventions shared with callers and upstreams.
     #[serde(default)]
     pub conventions: ConventionSettings,
@@ -183,6 +186,24 @@
     }
 }
 
+/// Limits of accounts over all nodes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct QuotaSettings {
+    /// Whether the limits are enforced.
+    pub enabled: bool,
+    /// Calls of an account that all nodes together may run beyond its rate and burst in a window.
+    pub slack: f64,
+    /// Window over which the limits hold, in milliseconds.
+    pub window_ms: u64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        Self { enabled: false, slack: 0.0, window_ms: 5000 }
+    }
+}
+
 /// HTTP conventions: names of headers, and requirements on an upstream's answer.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
