Bound the passes over accounts, and ask again at the time that the pool named

Cause: every call that waited led to a pass over all accounts with demand, and a node asked its pool again only at the next tick. Change: passes are at least 5 ms apart, and the exchange names the time at which it needs an event.

--- a/goldcresttally-quota/src/exchange.rs
+++ b/goldcresttally-quota/src/exchange.rs
@@ -60,6 +60,10 @@
 /// Time for which the stock of a pool suffices at the current grants, in seconds.
 const POOL_RESERVE_S: f64 = 0.1;
 
+/// Minimum time between two passes over the accounts with demand. What happens meanwhile is left to
+/// the next pass, so that the work does not grow with the calls that wait.
+const MIN_PASS_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Interval at which the number of nodes that accrue is computed without a change of the members.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -218,6 +222,8 @@
     deposits: Vec<Amount>,
     /// Whether some of what is wanted may be asked for now.
     is_urgent: bool,
+    /// Time at which some of what is wanted may be asked for.
+    next_draw: Option<MonoTime>,
     deposit_interval: Option<Duration>,
 }
 
@@ -229,6 +235,9 @@
     members: Members,
     shares: Shares,
     next_refresh: Deadline,
+    next_pass: Deadline,
+    /// Time of the next event that this node needs, if it is sooner than the next tick.
+    due: Option<Deadline>,
     active: BTreeMap<AccountName, Active>,
     in_flight: BTreeMap<RequestId, InFlight>,
     links: Map<(NodeId, Kind), Link>,
@@ -252,6 +261,8 @@
             members: Members::new(own, domain),
             shares: Shares::default(),
             next_refresh: Deadline(MonoTime(0)),
+            next_pass: Deadline(MonoTime(0)),
+            due: None,
             active: BTreeMap::new(),
             in_flight: BTreeMap::new(),
             links: Map::default(),
@@ -269,6 +280,11 @@
         self.shares.nodes
     }
 
+    /// Returns the time at which a tick is needed, if one is needed before the regular one.
+    pub fn due(&self) -> Option<Deadline> {
+        self.due
+    }
+
     /// Processes an event and appends the resulting actions.
     pub fn on_event(&mut self, now: MonoTime, event: Event, actions: &mut Vec<Action>) {
         if self.last_event != MonoTime(0) && now.since(self.last_event) > STALL_THRESHOLD {
@@ -277,6 +293,7 @@
             waiting.for_each(|request| request.respond_by = deadline);
         }
         self.last_event = now;
+        self.due.take_if(|due| due.is_past(now));
         match event {
             Event::Tick => {}
             Event::Members(view) => {
@@ -290,7 +307,11 @@
         self.refresh_shares(now, actions);
         if !self.quotas.is_empty() {
             self.expire_requests(now, actions);
-            self.exchange(now, actions);
+            if self.next_pass.is_past(now) {
+                self.exchange(now, actions);
+            } else {
+                self.set_due(self.next_pass);
+            }
         }
     }
 
@@ -590,8 +611,14 @@
         }
     }
 
+    fn set_due(&mut self, at: Deadline) {
+        self.due = Some(self.due.map_or(at, |due| due.min(at)));
+    }
+
     /// Draws and deposits what is due.
     fn exchange(&mut self, now: MonoTime, actions: &mut Vec<Action>) {
+        self.next_pass = Deadline::after(now, MIN_PASS_INTERVAL);
+        self.due = None;
         for bucket in self.quotas.take_activated() {
             let name = bucket.name.clone();
             self.active.entry(name).or_insert_with(|| Active::new(bucket));
@@ -624,6 +651,10 @@
             let batch = batches.entry(pool).or_default();
             if view.want > 0.0 {
                 batch.is_urgent |= now >= active.next_draw;
+                batch.next_draw = Some(match batch.next_draw {
+                    Some(next) => next.min(active.next_draw),
+                    None => active.next_draw,
+                });
                 push(&mut batch.wants, name, Tokens::at_least(view.want));
             }
             if active.sought_until > now && view.spare >= 0.001 {
@@ -663,16 +694,24 @@
     }
 
     fn send_batch(&mut self, now: MonoTime, pool: NodeId, batch: Batch, actions: &mut Vec<Action>) {
-        let Batch { wants, deposits, is_urgent, deposit_interval } = batch;
+        let Batch { wants, deposits, is_urgent, next_draw, deposit_interval } = batch;
         let deposited_at = self.deposited.filter(|(to, _)| *to == pool).map(|(_, at)| at);
         let is_deposit = deposit_interval.is_some_and(|interval| {
             let interval = interval.clamp(MIN_DEPOSIT_INTERVAL, DEPOSIT_INTERVAL);
             deposited_at.is_none_or(|at| now.since(at) >= interval)
         });
         if !is_urgent && !is_deposit {
+            if let Some(at) = next_draw {
+                self.set_due(Deadline(at));
+            }
             return;
         }
         if !self.may_send(now, pool, Kind::Draw) {
+            // A response leads to the next pass, too.
+            let next = self.links.get(&(pool, Kind::Draw)).map(|link| link.next_request);
+            if let Some(at) = next.filter(|at| *at > now) {
+                self.set_due(Deadline(at));
+            }
             return;
         }
         // A pool tells which accounts it seeks deposits for only in responses to deposits.
--- a/goldcresttally-quota/src/members.rs
+++ b/goldcresttally-quota/src/members.rs
@@ -179,6 +179,9 @@
     usable: impl Fn(NodeId) -> bool,
 ) -> Option<NodeId> {
     let candidates = members.len().div_ceil(MEMBERS_PER_POOL);
-    let usable = members.iter().copied().filter(|id| usable(*id));
+    let mut usable = members.iter().copied().filter(|id| usable(*id));
+    if candidates == 1 {
+        return usable.next();
+    }
     rendezvous::choose(usable.take(candidates), account.as_str())
 }
--- a/goldcresttally-quota/tests/common/mod.rs
+++ b/goldcresttally-quota/tests/common/mod.rs
@@ -62,6 +62,7 @@
     Fails { process: u32, id: RequestId },
     Members,
     WaitEnds,
+    Due,
 }
 
 struct Waiting {
@@ -77,6 +78,8 @@
     is_up: bool,
     has_left: bool,
     paused_until_us: u64,
+    /// Time of the next event that the exchange has asked for.
+    due_us: u64,
     waiting: VecDeque<Waiting>,
 }
 
@@ -168,6 +171,7 @@
             is_up: true,
             has_left: false,
             paused_until_us: 0,
+            due_us: u64::MAX,
             waiting: VecDeque::new(),
         });
         let offset = self.rng.u64(0..TICK_US);
@@ -214,6 +218,7 @@
         (node.quotas, node.exchange) = (quotas, exchange);
         node.process += 1;
         node.is_up = true;
+        node.due_us = u64::MAX;
         node.waiting.clear();
         self.dead_since.remove(&n);
         self.schedule(300_000, n, Delivery::Members);
@@ -288,6 +293,11 @@
     }
 
     fn perform(&mut self, n: usize, actions: Vec<Action>) {
+        let due_us = self.nodes[n].exchange.due().map_or(u64::MAX, |due| due.0.0);
+        if due_us < self.nodes[n].due_us {
+            self.nodes[n].due_us = due_us;
+            self.schedule(due_us.saturating_sub(self.now_us), n, Delivery::Due);
+        }
         for action in actions {
             match action {
                 Action::Send { id, to, request } => {
@@ -340,6 +350,10 @@
                 self.schedule(TICK_US, to, Delivery::Tick);
                 self.feed(to, Event::Tick);
             }
+            Delivery::Due => {
+                self.nodes[to].due_us = u64::MAX;
+                self.feed(to, Event::Tick);
+            }
             Delivery::WaitEnds => self.expire_waiting(to),
             Delivery::Members => {
                 let view = self.view(to);
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -16,7 +16,7 @@
 use goldcresttally_quota::Exchange;
 use goldcresttally_store::{DocumentSource, NodeDirectory, TableStore};
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use super::Config;
@@ -89,6 +89,9 @@
     pub join_window: Cell<(u64, u32)>,
     /// Moves the tokens of accounts; `None` if their limits are not enforced.
     pub exchange: Option<RefCell<Exchange>>,
+    /// The time at which the exchange needs the next event, if that is before the next tick.
+    pub exchange_due: Cell<Option<Deadline>>,
+    pub exchange_due_changed: Notify,
     /// The reason why a version was refused last.
     pub refusal: RefCell<Option<Arc<str>>>,
 }
@@ -153,6 +156,8 @@
             failed_joins: Cell::new(0),
             join_window: Cell::new((0, 0)),
             exchange,
+            exchange_due: Cell::new(None),
+            exchange_due_changed: Notify::new(),
             refusal: RefCell::new(None),
             settings,
         })
--- a/goldcresttallyd/src/control/quota.rs
+++ b/goldcresttallyd/src/control/quota.rs
@@ -32,6 +32,10 @@
     }
 
     fn perform_exchange(self: &Rc<Self>, actions: Vec<Action>) {
+        let due = self.exchange.as_ref().and_then(|exchange| exchange.borrow().due());
+        if due != self.exchange_due.replace(due) && due.is_some() {
+            self.exchange_due_changed.notify_one();
+        }
         for action in actions {
             match action {
                 Action::Send { id, to, request } => {
@@ -59,12 +63,21 @@
         }
     }
 
-    /// Exchanges tokens as soon as a call waits for one, until the node stops.
+    /// Exchanges tokens as soon as a call waits for one or the exchange is due, until the node stops.
     pub(super) async fn exchange_when_wanted(self: Rc<Self>) {
         let Some(limits) = self.peer.state().account_limits() else { return };
         loop {
+            let due = self.exchange_due.get().map(|due| self.peer.state().clock.instant(due));
+            let until_due = async {
+                match due {
+                    Some(due) => tokio::time::sleep_until(due).await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
                 () = limits.wanted.notified() => self.on_exchange(Event::Tick),
+                () = until_due => self.on_exchange(Event::Tick),
+                () = self.exchange_due_changed.notified() => {}
                 () = self.stop.cancelled() => return,
             }
         }
