--- a/tally-lab/src/fleet/vm_location.rs
+++ b/tally-lab/src/fleet/vm_location.rs
@@ -101,7 +101,9 @@
             "node:\n  control: {}\n  peer: {}\n  calls: {}\n  operator: {}\n  domain: {}\n  \
              region: {}\n  seeds: [{}]\n  link: {}\nplatform: {platform}\nteams:\n  lab: {{token_sha256: {}}}\n\
              distribution: {{mode: {}, fleet_size: {}}}\n\
-             requests: {{drain_ms: {}, redirects: {}, leave_notice_ms: 1000}}\n",
+             requests: {{drain_ms: {}, redirects: {}, leave_notice_ms: 1000}}\n\
+             quotas: {{enabled: {}}}\n\
+             conventions: {{account_key_header: Authorization, account_key_scheme: Bearer}}\n",
             self.control(),
             SocketAddr::new(self.ip, PEER_PORT),
             self.calls(),
@@ -115,6 +117,7 @@
             options.fleet_size,
             options.drain_ms,
             options.redirects,
+            options.quotas,
         )
     }
 }
