--- a/goldcresttally-quota/src/exchange.rs
+++ b/goldcresttally-quota/src/exchange.rs
@@ -421,7 +421,6 @@
         want: Tokens,
     ) -> Option<Grant> {
         let shares = self.shares;
-        let sources = self.draw_sources(now, account).len();
         self.activate(account)?;
         let active = self.active.get_mut(account)?;
         Self::seek(active, &mut self.to_collect);
@@ -438,8 +437,10 @@
             return Some(grant(account, tokens, Duration::ZERO));
         }
         active.unmet.add(now, missing);
-        let is_collecting =
-            sources > 0 || active.asked >= 0.001 || self.to_collect.contains(account);
+        let is_asking = active.asked >= 0.001;
+        let has_sources = is_asking || !self.draw_sources(now, account).is_empty();
+        let active = self.active.get_mut(account)?;
+        let is_collecting = has_sources || self.to_collect.contains(account);
         let retry_after = if is_collecting {
             COLLECTING_RETRY
         } else {
@@ -740,8 +741,6 @@
         view: &View,
         draws: &mut BTreeMap<NodeId, Vec<Amount>>,
     ) {
-        let mut sources = self.draw_sources(now, name);
-        sources.retain(|id| self.may_send(now, *id, Kind::Pool));
         let Some(active) = self.active.get_mut(name) else { return };
         let needed = active.unmet.get(now) + view.waiting;
         let reserve = (active.granted.rate(now) * POOL_RESERVE_S).min(view.rate * POOL_RESERVE_S);
@@ -752,9 +751,14 @@
         Self::seek(active, &mut self.to_collect);
         let missing = (needed + reserve - view.stock).max(view.want);
         let missing = missing.min(view.room.max(needed - view.stock) - active.asked);
-        if missing <= 0.001 || sources.is_empty() {
+        if missing <= 0.001 {
             return;
         }
+        let mut sources = self.draw_sources(now, name);
+        sources.retain(|id| self.may_send(now, *id, Kind::Pool));
+        let Some(active) = self.active.get_mut(name).filter(|_| !sources.is_empty()) else {
+            return;
+        };
         // A part from each, but at least one call: fractions do not serve a call.
         let part = (missing / sources.len() as f64).max(missing.min(1.0));
         for id in sources {
--- a/goldcresttally-quota/tests/fleet_limit.rs
+++ b/goldcresttally-quota/tests/fleet_limit.rs
@@ -64,7 +64,9 @@
                 2 => fleet.cut((0..NODES).filter(|n| n % DOMAINS == 1)),
                 3 => {
                     let down: Vec<_> = (0..NODES).filter(|n| !fleet.is_up(*n)).collect();
-                    down.into_iter().for_each(|n| fleet.restart(n));
+                    for n in down {
+                        fleet.restart(n);
+                    }
                 }
                 4 => fleet.cut((0..NODES).filter(|n| n % 3 == 0)),
                 5 => fleet.heal(),
--- a/goldcresttallyd/src/metrics_text.rs
+++ b/goldcresttallyd/src/metrics_text.rs
@@ -57,6 +57,13 @@
     let transfers = peer.transfer_load();
     line("link_in_granted_bytes", "", transfers.granted_bytes as f64);
     line("link_in_waiting_bytes", "", transfers.waiting_bytes as f64);
+    if let Some(limits) = state.account_limits() {
+        for (account, usage) in limits.quotas.usage(state.clock.now()) {
+            let labels = format!("{{account=\"{account}\"}}");
+            line("account_tokens", &labels, usage.stock);
+            line("account_waiting", &labels, usage.waiting);
+        }
+    }
     for (service, _, load) in peer.loads() {
         let labels = format!("{{service=\"{service}\"}}");
         line("upstream_running", &labels, load.running as f64);
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -12,7 +12,7 @@
 use goldcresttally_routing::RetryAllowance;
 use http::HeaderName;
 
-use super::{ConventionSettings, Settings};
+use super::{ConventionSettings, QuotaSettings, Settings};
 
 /// Prefix of the headers that only this system may set.
 const INTERNAL_PREFIX: &str = "tally-";
@@ -72,14 +72,7 @@
                 return invalid(key, format!("`{value}` is not in the range from 0 to {max}"));
             }
         }
-        let q = &self.quotas;
-        if !(0.0..=1e6).contains(&q.slack) {
-            return invalid(
-                "quotas.slack",
-                format!("`{}` is not in the range from 0 to 1000000", q.slack),
-            );
-        }
-        in_range("quotas.window_ms", q.window_ms, 1000, 60_000)?;
+        self.quotas.check()?;
         self.check_headers()?;
         in_range("node.threads", self.node.threads as u64, 0, 64)
     }
@@ -220,6 +213,21 @@
     }
 }
 
+impl QuotaSettings {
+    /// Validates the values.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first invalid key and a message.
+    pub fn check(&self) -> Result<(), (String, String)> {
+        if !(0.0..=1e6).contains(&self.slack) {
+            let message = format!("`{}` is not in the range from 0 to 1000000", self.slack);
+            return invalid("quotas.slack", message);
+        }
+        in_range("quotas.window_ms", self.window_ms, 1000, 60_000)
+    }
+}
+
 impl ConventionSettings {
     /// Returns the keys of the header settings with their values.
     fn header_names(&self) -> [(&'static str, Option<&str>); 11] {
