--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -6,11 +6,13 @@
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership as membership;
 use goldcresttally_proxy::Conventions;
+use goldcresttally_proxy::entry::AccountLimits;
+use goldcresttally_quota as quota;
 use goldcresttally_routing::BudgetOptions;
 use goldcresttally_routing::RetryAllowance;
 use http::HeaderName;
 
-use super::{ConventionSettings, Settings};
+use super::{ConventionSettings, QuotaSettings, Settings};
 
 /// Prefix of the headers that only this system may set.
 const INTERNAL_PREFIX: &str = "tally-";
@@ -70,6 +72,7 @@
                 return invalid(key, format!("`{value}` is not in the range from 0 to {max}"));
             }
         }
+        self.quotas.check()?;
         self.check_headers()?;
         in_range("node.threads", self.node.threads as u64, 0, 64)
     }
@@ -156,6 +159,13 @@
         }
     }
 
+    /// Returns the limits of accounts; `None` if they are not enforced.
+    pub fn account_limits(&self) -> Option<AccountLimits> {
+        let q = &self.quotas;
+        let options = quota::Options { slack: q.slack, window: Duration::from_millis(q.window_ms) };
+        q.enabled.then(|| AccountLimits::new(Arc::new(quota::Quotas::new(options))))
+    }
+
     fn check_addresses(&self) -> Result<(), CheckError> {
         let node = &self.node;
         let listeners = [
@@ -203,6 +213,21 @@
     }
 }
 
+impl QuotaSettings {
+    /// Validates the values.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first invalid key and a message.
+    pub fn check(&self) -> Result<(), (String, String)> {
+        if !(0.0..=1e6).contains(&self.slack) {
+            let message = format!("`{}` is not in the range from 0 to 1000000", self.slack);
+            return invalid("quotas.slack", message);
+        }
+        in_range("quotas.window_ms", self.window_ms, 1000, 60_000)
+    }
+}
+
 impl ConventionSettings {
     /// Returns the keys of the header settings with their values.
     fn header_names(&self) -> [(&'static str, Option<&str>); 11] {
