Proxy: refuse an upstream's answer whose status is not final

Cause: a head with status 600 to 999, or 101 as the final one, was passed on to the caller. Statuses below 100 and malformed lines were refused by the HTTP library already, when it parses the head.

Change: an answer with a status outside 200 to 599 ends the attempt as failed with may-have-run and 502 (bad-answer); its connection is closed.

--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -166,6 +166,7 @@
             }
             // The call's own response may follow, but the connection cannot be trusted.
             ResponseKind::Mismatched => self.abandon(Reason::ConnectionLost),
+            ResponseKind::InvalidStatus => self.abandon(Reason::BadAnswer),
             ResponseKind::Malformed => self.fail_bad_response(),
             ResponseKind::Valid => {
                 return self
--- a/goldcresttally-proxy/src/peer/upstream_messages.rs
+++ b/goldcresttally-proxy/src/peer/upstream_messages.rs
@@ -52,6 +52,8 @@
     WrongInstance,
     /// A response with the id of another call, or one without an id that may be of another call.
     Mismatched,
+    /// A response whose status is not that of a final response.
+    InvalidStatus,
     /// A response that is unsigned, has an unrequested encoding, or whose end cannot be detected.
     Malformed,
 }
@@ -93,6 +95,10 @@
         conventions: &Conventions,
         kept: bool,
     ) -> ResponseKind {
+        // The HTTP library rejects a status below 100 and malformed lines.
+        if !(200..=599).contains(&response.status().as_u16()) {
+            return ResponseKind::InvalidStatus;
+        }
         let map = response.headers();
         let echoed = conventions.call_id.as_ref().and_then(|name| map.get(name));
         if echoed.is_some() && echoed != self.call_id.as_ref() {
