Limit the memory and connections of clients, and disconnect stalled ones

The readiness, control, operator and metrics listeners use the same server and limits instead of axum's, which has no timeouts; small_reads.rs is replaced by the server's small buffers.

--- a/goldcresttally-core/src/units.rs
+++ b/goldcresttally-core/src/units.rs
@@ -34,8 +34,12 @@
             t if t.ends_with("KiB") => (&t[..t.len() - 3], 10),
             t => (t, 0),
         };
-        match digits.parse::<u32>() {
-            Ok(n) if u64::from(n) << shift <= 1 << 32 => Ok(Self((n as usize) << shift)),
+        let whole = digits.parse::<u32>().ok().map(|n| u64::from(n) << shift);
+        // Deploy templates may render numbers with a fraction, as in `160.0MiB`.
+        let fraction = || digits.parse::<f64>().ok().filter(|n| shift > 0 && *n >= 0.0);
+        let bytes = whole.or_else(|| fraction().map(|n| (n * f64::from(1 << shift)) as u64));
+        match bytes {
+            Some(bytes) if bytes <= 1 << 32 => Ok(Self(bytes as usize)),
             _ => invalid("size", text, "a number of bytes, or one followed by KiB or MiB"),
         }
     }
--- a/goldcresttally-proxy/src/activity.rs
+++ b/goldcresttally-proxy/src/activity.rs
@@ -26,15 +26,20 @@
     received_ms: AtomicU64,
     /// Whether written bytes wait for the other end to read.
     write_blocked: AtomicBool,
+    received_bytes: AtomicU64,
+    written_bytes: AtomicU64,
     http2: AtomicBool,
 }
 
 impl Activity {
-    fn new() -> Self {
+    /// Returns the activity of a connection that is opened now.
+    pub fn new() -> Self {
         Self {
             opened: Instant::now(),
             received_ms: AtomicU64::new(0),
             write_blocked: AtomicBool::new(false),
+            received_bytes: AtomicU64::new(0),
+            written_bytes: AtomicU64::new(0),
             http2: AtomicBool::new(false),
         }
     }
@@ -49,6 +54,16 @@
         self.write_blocked.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of bytes received so far.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of bytes written so far.
+    pub fn written_bytes(&self) -> u64 {
+        self.written_bytes.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the other end, as a client, has started to speak HTTP/2.
     pub fn is_http2(&self) -> bool {
         self.http2.load(Ordering::Relaxed)
@@ -72,6 +87,7 @@
     }
 
     fn on_received(&self, bytes: &[u8]) {
+        self.received_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
         if self.received_ms.load(Ordering::Relaxed) == 0 && bytes.starts_with(HTTP2_PREFACE_START) {
             self.http2.store(true, Ordering::Relaxed);
         }
@@ -97,16 +113,17 @@
         (Self { inner: Some(inner), activity: Arc::clone(&activity), returned: None }, activity)
     }
 
-    /// Observes `inner` like [`Self::new`]; the receiver gets it back when the stream is dropped.
-    pub fn returning(inner: S) -> (Self, Arc<Activity>, oneshot::Receiver<S>) {
-        let (mut stream, activity) = Self::new(inner);
+    /// Observes `inner` as `activity`; the receiver gets it back when the stream is dropped.
+    pub fn returning(inner: S, activity: Arc<Activity>) -> (Self, oneshot::Receiver<S>) {
         let (tx, rx) = oneshot::channel();
-        stream.returned = Some(tx);
-        (stream, activity, rx)
+        (Self { inner: Some(inner), activity, returned: Some(tx) }, rx)
     }
 
     fn on_write(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         self.activity.write_blocked.store(poll.is_pending(), Ordering::Relaxed);
+        if let Poll::Ready(Ok(written)) = poll {
+            self.activity.written_bytes.fetch_add(written as u64, Ordering::Relaxed);
+        }
         poll
     }
 }
--- a/goldcresttally-proxy/src/body.rs
+++ b/goldcresttally-proxy/src/body.rs
@@ -16,6 +16,24 @@
 /// The body of a request or response.
 pub type CallBody = UnsyncBoxBody<Bytes, BoxError>;
 
+/// The error of a request body that exceeds the memory of all clients together.
+#[derive(Debug, Clone, Copy)]
+pub struct OverBudget;
+
+impl std::fmt::Display for OverBudget {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the memory for requests of clients is in use")
+    }
+}
+
+impl std::error::Error for OverBudget {}
+
+/// Returns whether a body failed because of [`OverBudget`].
+pub fn is_over_budget(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut causes = std::iter::successors(Some(error), |e| e.source());
+    causes.any(<dyn std::error::Error>::is::<OverBudget>)
+}
+
 /// Maximum size of a body that is buffered in memory as a whole, in bytes.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
 
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -17,7 +17,7 @@
 
 use super::Entry;
 use super::hedging::Suspicion;
-use crate::body::{CallBody, ReplayableBody, boxed};
+use crate::body::{CallBody, ReplayableBody, boxed, is_over_budget};
 use crate::call_log::{CallEvent, CallInfo};
 use crate::errors::{CallError, Reason};
 use crate::headers;
@@ -139,6 +139,9 @@
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
                 return Err(CallError::not_run(Reason::TooLarge));
             }
+            Ok(Err(e)) if is_over_budget(&*e) => {
+                return Err(CallError::not_run(Reason::MemoryFull));
+            }
             Ok(Err(_)) => return Err(CallError::not_run(Reason::BadRequest)),
             Err(_) => return Err(CallError::not_run(Reason::RequestTimeout)),
         };
--- a/goldcresttally-proxy/src/lib.rs
+++ b/goldcresttally-proxy/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`transport`]: interface to the network.
 //! * [`server`]: HTTP server with graceful shutdown.
 //! * [`workers`]: worker threads that serve calls, each with its own runtime.
+//! * [`clients`]: limits on what the clients of a process may hold.
 //! * [`service`]: request handlers as tower services.
 //! * [`conventions`]: headers and rules towards callers and upstreams.
 //! * [`headers`], [`body`], [`clock`], [`counters`], [`errors`]: shared parts.
@@ -23,6 +24,7 @@
 pub mod body;
 pub mod call_log;
 pub mod claims;
+pub mod clients;
 pub mod clock;
 pub mod conventions;
 pub mod counters;
--- a/goldcresttally-proxy/src/server.rs
+++ b/goldcresttally-proxy/src/server.rs
@@ -1,11 +1,11 @@
 //! HTTP server of a node: accepts connections, and completes the calls in flight when it stops.
 
 use std::convert::Infallible;
+use std::sync::Arc;
 use std::time::Duration;
 
 use goldcresttally_config::LimitsSpec;
 use http::{Request, Response};
-use hyper::body::Incoming;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
@@ -14,11 +14,11 @@
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
-use tower::util::Oneshot;
-use tower::{Service, ServiceExt};
+use tower::Service;
 
 use crate::activity::{Activity, ObservedStream};
-use crate::body::{CallBody, boxed};
+use crate::body::CallBody;
+use crate::clients::{ClientAdapter, ClientOptions, ClientPort, Registration};
 
 /// Minimum buffer for the head of a request, in bytes; hyper accepts no smaller one.
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
@@ -35,6 +35,14 @@
 /// Flow-control window of all requests on a connection, in bytes.
 const CONNECTION_WINDOW_BYTES: u32 = 4 * 1024 * 1024;
 
+/// Flow-control windows of one request and of all requests on a connection of a client, in bytes: what
+/// arrives before it is wanted.
+const CLIENT_STREAM_WINDOW_BYTES: u32 = 64 * 1024;
+const CLIENT_CONNECTION_WINDOW_BYTES: u32 = 256 * 1024;
+
+/// Maximum bytes of one response on HTTP/2 that are taken before a client reads them.
+const CLIENT_SEND_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Time that an idle connection has to close once the listener stops, in milliseconds, and interval at
 /// which the others are checked.
 const CLOSE_CHECK_INTERVAL_MS: u64 = 1000;
@@ -77,6 +85,46 @@
         + Send
         + 'static,
     S::Future: Send + 'static,
+{
+    accept(listener, clients, None, workers, limits, stop, tasks).await;
+}
+
+/// Serves clients like [`serve`], within the limits of `port`.
+pub async fn serve_clients<S>(
+    listener: TcpListener,
+    port: Arc<ClientPort>,
+    workers: Vec<(Handle, S)>,
+    limits: impl Fn() -> LimitsSpec + Send,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+) where
+    S: Service<Request<CallBody>, Response = Response<CallBody>, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send + 'static,
+{
+    let accept = accept(listener, ClientKind::Callers, Some(&port), workers, limits, stop, tasks);
+    tokio::select! {
+        () = accept => {}
+        () = port.check() => {}
+    }
+}
+
+async fn accept<S>(
+    listener: TcpListener,
+    clients: ClientKind,
+    port: Option<&Arc<ClientPort>>,
+    workers: Vec<(Handle, S)>,
+    limits: impl Fn() -> LimitsSpec + Send,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+) where
+    S: Service<Request<CallBody>, Response = Response<CallBody>, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send + 'static,
 {
     let graceful = GracefulShutdown::new();
     let connections = TaskTracker::new();
@@ -87,21 +135,32 @@
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => break,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, address)) = accepted else {
             tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
             continue;
         };
+        if port.is_some_and(|port| !port.makes_room()) {
+            continue;
+        }
         let Ok(stream) = stream.into_std() else { continue };
         let (handle, service) = &workers[index % workers.len()];
-        let mut builder = builder(limits());
+        let limits = limits();
+        let mut builder = builder(limits);
         if clients == ClientKind::Nodes {
             // At hyper's default limit, many cancellations at once would close the connection and
             // with it all other calls on it.
             builder.http2().max_pending_accept_reset_streams(MAX_STREAMS as usize);
         }
-        let service = HyperAdapter(service.clone());
-        let ends = ConnectionEnds { stop: stop.clone(), abort: abort.clone() };
-        let connection = serve_connection(stream, builder, service, graceful.watcher(), ends);
+        if let Some(port) = port {
+            limit_client(&mut builder, &port.clients().options);
+        }
+        let activity = Arc::new(Activity::new());
+        let registration = port.map(|port| port.register(&limits, address, Arc::clone(&activity)));
+        let connection = registration.as_ref().map(|r| Arc::clone(&r.connection));
+        let service = ClientAdapter::new(service.clone(), connection);
+        let ends = ConnectionEnds { stop: stop.clone(), abort: abort.clone(), registration };
+        let connection =
+            serve_connection(stream, activity, builder, service, graceful.watcher(), ends);
         tasks.spawn_on(connections.track_future(connection), handle);
     }
     drop(listener);
@@ -110,28 +169,12 @@
     connections.wait().await;
 }
 
-/// Adapts a tower service with boxed bodies to hyper's service trait.
-#[derive(Debug, Clone)]
-struct HyperAdapter<S>(S);
-
-impl<S> hyper::service::Service<Request<Incoming>> for HyperAdapter<S>
-where
-    S: Service<Request<CallBody>, Response = Response<CallBody>, Error = Infallible> + Clone,
-{
-    type Response = Response<CallBody>;
-    type Error = Infallible;
-    type Future = Oneshot<S, Request<CallBody>>;
-
-    fn call(&self, req: Request<Incoming>) -> Self::Future {
-        self.0.clone().oneshot(req.map(boxed))
-    }
-}
-
 /// Serves one connection; must be polled on the runtime that is to drive it.
 async fn serve_connection<S>(
     stream: std::net::TcpStream,
+    activity: Arc<Activity>,
     builder: auto::Builder<TokioExecutor>,
-    service: HyperAdapter<S>,
+    service: ClientAdapter<S>,
     watcher: Watcher,
     ends: ConnectionEnds,
 ) where
@@ -145,7 +188,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let (stream, activity, returned) = ObservedStream::returning(stream);
+    let (stream, returned) = ObservedStream::returning(stream, Arc::clone(&activity));
     let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
     tokio::select! {
         // A connection error concerns only its client.
@@ -156,6 +199,7 @@
         tokio::select! {
             () = linger(stream) => {}
             () = ends.abort.cancelled() => {}
+            () = ends.closed() => {}
         }
     }
 }
@@ -179,20 +223,32 @@
     stop: CancellationToken,
     /// All connections close.
     abort: CancellationToken,
+    /// The connection of a client closes when its port says so.
+    registration: Option<Registration>,
 }
 
 impl ConnectionEnds {
-    /// Waits until the connection is to be closed: at once after `abort`, or after `stop` if there is
+    /// Waits until the port of a client's connection closes it.
+    async fn closed(&self) {
+        match &self.registration {
+            Some(registration) => registration.connection.closed().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Waits until the connection is to be closed: at once after `abort` or by its port, or after `stop` if there is
     /// nothing left to deliver. A client that is about to send a request does not delay the stop.
     async fn wait(&self, activity: &Activity) {
         tokio::select! {
             () = self.abort.cancelled() => return,
+            () = self.closed() => return,
             () = self.stop.cancelled() => {}
         }
         let interval = Duration::from_millis(CLOSE_CHECK_INTERVAL_MS);
         loop {
             tokio::select! {
                 () = self.abort.cancelled() => return,
+                () = self.closed() => return,
                 () = tokio::time::sleep(interval) => {}
             }
             // On HTTP/2, responses may also wait for the client's flow control; a client that does
@@ -226,3 +282,14 @@
         .max_header_list_size(head_bytes as u32);
     builder
 }
+
+/// Applies the limits on clients to a connection.
+fn limit_client(builder: &mut auto::Builder<TokioExecutor>, options: &ClientOptions) {
+    builder.http1().max_headers(options.max_header_fields);
+    builder
+        .http2()
+        .max_concurrent_streams(options.max_streams)
+        .initial_stream_window_size(CLIENT_STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CLIENT_CONNECTION_WINDOW_BYTES)
+        .max_send_buf_size(CLIENT_SEND_BUFFER_BYTES);
+}
--- a/goldcresttally-proxy/src/state.rs
+++ b/goldcresttally-proxy/src/state.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::call_log::CallLog;
+use crate::clients::{ClientOptions, Clients};
 use crate::clock::Clock;
 use crate::conventions::Conventions;
 use crate::counters::Counters;
@@ -98,6 +99,8 @@
     pub counters: Counters,
     /// Headers and rules towards callers and upstreams.
     pub conventions: Conventions,
+    /// The limits on the clients of this node.
+    pub clients: Arc<Clients>,
     /// Receives decisions about calls.
     pub call_log: Arc<dyn CallLog>,
     allowance: ArcSwap<RetryAllowance>,
@@ -128,6 +131,7 @@
         call_log: Arc<dyn CallLog>,
     ) -> Self {
         Self {
+            clients: Arc::default(),
             call_log,
             identity,
             clock,
@@ -150,6 +154,13 @@
         }
     }
 
+    /// Sets the limits on the clients of this node.
+    #[must_use]
+    pub fn with_clients(mut self, options: ClientOptions) -> Self {
+        self.clients = Arc::new(Clients::new(options));
+        self
+    }
+
     /// Returns the configuration in force. A call uses the one that it began with until it ends.
     pub fn active_config(&self) -> Arc<ActiveConfig> {
         self.config.load_full()
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -69,6 +69,7 @@
     CONTROL_CLOSED = 1601 Debug "control connection closed";
     CONTROL_SILENT = 1602 Warn "control connection silent: closed";
     METRICS_FAILED = 1701 Warn "metrics could not be sent";
+    CLIENTS_LIMITED = 1801 Warn "clients refused or disconnected at a limit";
     CALL_FAILED = 2001 Info "call ended without an upstream's answer";
     CALL_UPSTREAM_FAILED = 2002 Info "call ended with an upstream's failure";
     CALL_RETRIED = 2003 Info "attempt failed or in doubt: another one is made";
--- a/goldcresttallyd/src/metrics_text.rs
+++ b/goldcresttallyd/src/metrics_text.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::small_reads::with_small_reads;
+use crate::client_listener;
 
 /// HTTP path of the metrics.
 pub const PATH: &str = "/metrics";
@@ -31,12 +31,11 @@
     stop: CancellationToken,
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(address).await?;
+    let clients = Arc::clone(&peer.state().clients);
     let handler = move || async move { render(&peer, &recorder) };
-    let served = axum::serve(with_small_reads(listener), Router::new().route(PATH, get(handler)));
-    tokio::select! {
-        result = served.into_future() => result,
-        () = stop.cancelled() => Ok(()),
-    }
+    let router = Router::new().route(PATH, get(handler));
+    client_listener::serve(listener, clients, router, 0, stop).await;
+    Ok(())
 }
 
 /// Renders the metrics of a node.
@@ -50,6 +49,10 @@
     for (name, value) in state.counters.read() {
         line(&format!("{name}_total"), "", value as f64);
     }
+    for (name, value) in state.clients.counters.read() {
+        line(&format!("{name}_total"), "", value as f64);
+    }
+    line("clients_bytes", "", state.clients.budget.used() as f64);
     line("version_in_force", "", state.active_config().snapshot.version().0 as f64);
     line("ready", "", f64::from(u8::from(state.is_ready() && !state.is_leaving())));
     line("calls_in_flight", "", state.calls_in_flight() as f64);
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -9,6 +9,7 @@
 use goldcresttally_config::{LimitsSpec, SectionFormat, YamlFormat};
 use goldcresttally_core::{Generation, Incarnation};
 use goldcresttally_membership::{Record, Status};
+use goldcresttally_proxy::clients::ClientPort;
 use goldcresttally_proxy::entry::{Entry, Options};
 use goldcresttally_proxy::link::LinkPool;
 use goldcresttally_proxy::server::{self, ClientKind};
@@ -26,6 +27,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::client_report;
 use crate::control::{self, ClaimCoordinatorClient, ControlHandle};
 use crate::events::{self, emit};
 use crate::metrics_text;
@@ -106,7 +108,7 @@
         let call_log = Arc::new(events::CallEventLog);
         let clock = options.clock.unwrap_or_else(Clock::start);
         let state = NodeState::new(identity, clock, settings.conventions(), call_log);
-        let state = Arc::new(state);
+        let state = Arc::new(state.with_clients(settings.client_options()));
         state.set_retry_allowance(settings.retry_allowance());
         let tasks = TaskTracker::new();
         let transport = options
@@ -197,9 +199,10 @@
         let (tasks, stop) = (&self.tasks, &self.stop);
         let state = Arc::clone(&self.state);
         let limits = move || state.active_config().snapshot.limits();
-        let serve = server::serve(
+        let port = ClientPort::for_callers(Arc::clone(&self.state.clients));
+        let serve = server::serve_clients(
             calls,
-            ClientKind::Callers,
+            Arc::new(port),
             entries,
             limits,
             self.stop_calls.clone(),
@@ -217,6 +220,8 @@
             tasks.clone(),
         );
         self.peer_listeners.push(tokio::spawn(serve));
+        let report = client_report::run(Arc::clone(&self.state.clients), stop.clone());
+        self.listeners.push(tokio::spawn(report));
         let serve = operator::serve(operators, operator, stop.clone());
         self.listeners.push(tokio::spawn(serve));
         if let Some(address) = self.settings.node.metrics {
--- a/goldcresttallyd/src/operator/mod.rs
+++ b/goldcresttallyd/src/operator/mod.rs
@@ -7,7 +7,6 @@
 mod upstreams;
 mod versions;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +17,7 @@
 use axum::routing::{get, post};
 use goldcresttally_config::SECTION_LIMIT_BYTES;
 use goldcresttally_proxy::Peer;
-use goldcresttally_proxy::body::read_up_to;
+use goldcresttally_proxy::body::{is_over_budget, read_up_to};
 use goldcresttally_report::Recorder;
 use goldcresttally_store::Document;
 use http::StatusCode;
@@ -26,9 +25,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
+use crate::client_listener;
 use crate::control::Command;
 use crate::settings::Settings;
-use crate::small_reads::with_small_reads_and_address;
 use problem::Problem;
 
 /// Time limit for a reply from the control thread, in milliseconds.
@@ -56,13 +55,9 @@
 
 /// Serves the API on `listener` until `stop` is cancelled.
 pub async fn serve(listener: TcpListener, operator: OperatorApi, stop: CancellationToken) {
-    let service = router(Arc::new(operator)).into_make_service_with_connect_info::<SocketAddr>();
-    let served = axum::serve(with_small_reads_and_address(listener), service);
-    tokio::select! {
-        // `axum::serve` retries failed accepts and never returns an error.
-        _ = served.into_future() => {}
-        () = stop.cancelled() => {}
-    }
+    let clients = Arc::clone(&operator.peer.state().clients);
+    let router = router(Arc::new(operator));
+    client_listener::serve(listener, clients, router, MAX_BODY_BYTES, stop).await;
 }
 
 /// Reads the body of a request before it is handled.
@@ -71,6 +66,7 @@
     match read_up_to(body, MAX_BODY_BYTES).await {
         Ok((body, None)) => next.run(Request::from_parts(parts, body.into())).await,
         Ok((_, Some(_))) => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
+        Err(e) if is_over_budget(&e) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
         Err(_) => StatusCode::BAD_REQUEST.into_response(),
     }
 }
--- a/goldcresttallyd/src/operator/upstreams.rs
+++ b/goldcresttallyd/src/operator/upstreams.rs
@@ -2,9 +2,10 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+use axum::Extension;
 use axum::Json;
+use axum::extract::State;
 use axum::extract::rejection::JsonRejection;
-use axum::extract::{ConnectInfo, State};
 use axum::http::StatusCode;
 use goldcresttally_core::ServiceName;
 use goldcresttally_membership::Announcement;
@@ -37,7 +38,7 @@
 
 pub(super) async fn announce(
     State(operator): State<Shared>,
-    ConnectInfo(from): ConnectInfo<SocketAddr>,
+    Extension(from): Extension<SocketAddr>,
     body: Result<Json<Announced>, JsonRejection>,
 ) -> Result<Json<Value>, Problem> {
     operator.check_local(from.ip())?;
@@ -57,7 +58,7 @@
 
 pub(super) async fn withdraw(
     State(operator): State<Shared>,
-    ConnectInfo(from): ConnectInfo<SocketAddr>,
+    Extension(from): Extension<SocketAddr>,
     body: Result<Json<Withdrawn>, JsonRejection>,
 ) -> Result<StatusCode, Problem> {
     operator.check_local(from.ip())?;
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -6,12 +6,19 @@
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership as membership;
 use goldcresttally_proxy::Conventions;
+use goldcresttally_proxy::clients::ClientOptions;
 use goldcresttally_routing::BudgetOptions;
 use goldcresttally_routing::RetryAllowance;
 use http::HeaderName;
 
 use super::{ConventionSettings, Settings};
 
+/// Minimum budget of clients, in bytes: a few requests with the largest body that is buffered.
+const MIN_BUDGET_BYTES: u64 = 1 << 20;
+
+/// Minimum memory of a node, in bytes.
+const MIN_MEMORY_BYTES: u64 = 16 << 20;
+
 /// The invalid key and a message.
 type CheckError = (String, String);
 
@@ -53,6 +60,18 @@
                 return invalid(key, format!("`{value}` is not in the range from 0 to {max}"));
             }
         }
+        let c = &self.clients;
+        // Below these, one ordinary request or a few tools would use up a limit.
+        let budget = c.budget.map_or(MIN_BUDGET_BYTES, |b| b.0 as u64);
+        in_range("clients.budget", budget, MIN_BUDGET_BYTES, u64::MAX)?;
+        let memory = self.node.memory.map_or(MIN_MEMORY_BYTES, |m| m.0 as u64);
+        in_range("node.memory", memory, MIN_MEMORY_BYTES, u64::MAX)?;
+        in_range("node.descriptors", self.node.descriptors.unwrap_or(64), 64, u64::MAX)?;
+        in_range("clients.call_connections", c.call_connections.unwrap_or(1) as u64, 1, 1_000_000)?;
+        in_range("clients.tool_connections", c.tool_connections.unwrap_or(4) as u64, 4, 1_000_000)?;
+        in_range("clients.max_header_fields", c.max_header_fields as u64, 100, 10_000)?;
+        in_range("clients.max_streams", c.max_streams.into(), 1, 100_000)?;
+        in_range("clients.stall_ms", c.stall_ms, 1000, 3_600_000)?;
         self.check_headers()?;
         in_range("node.threads", self.node.threads as u64, 0, 64)
     }
@@ -89,6 +108,22 @@
         }
     }
 
+    /// Returns the limits on clients.
+    pub fn client_options(&self) -> ClientOptions {
+        let c = &self.clients;
+        let memory = self.node.memory.map(|memory| memory.0);
+        let descriptors = self.node.descriptors.map(|count| count as usize);
+        let derived = ClientOptions::derive(memory, descriptors);
+        ClientOptions {
+            budget_bytes: c.budget.map_or(derived.budget_bytes, |budget| budget.0),
+            call_connections: c.call_connections.unwrap_or(derived.call_connections),
+            tool_connections: c.tool_connections.unwrap_or(derived.tool_connections),
+            max_header_fields: c.max_header_fields,
+            max_streams: c.max_streams,
+            stall_timeout: Duration::from_millis(c.stall_ms),
+        }
+    }
+
     /// Returns the retry budget of all nodes together.
     pub fn retry_allowance(&self) -> RetryAllowance {
         let r = &self.requests;
--- a/goldcresttallyd/src/settings/mod.rs
+++ b/goldcresttallyd/src/settings/mod.rs
@@ -6,8 +6,8 @@
 use std::fmt;
 
 pub use types::{
-    ConventionSettings, DistributionSettings, LogLevel, LogSettings, MembershipSettings,
-    MetricsSettings, NodeSettings, RequestSettings, Settings, TeamSettings,
+    ClientSettings, ConventionSettings, DistributionSettings, LogLevel, LogSettings,
+    MembershipSettings, MetricsSettings, NodeSettings, RequestSettings, Settings, TeamSettings,
 };
 
 /// An error in the settings.
--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 
 use goldcresttally_config::Digest;
-use goldcresttally_core::{BitRate, DomainId, NodeId, RegionId, ServiceName, TeamName};
+use goldcresttally_core::{BitRate, ByteSize, DomainId, NodeId, RegionId, ServiceName, TeamName};
 use goldcresttally_membership::registry::LEASE_MS;
-use serde::{Deserialize, Serialize};
+use goldcresttally_proxy::clients::ClientOptions;
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// All settings of a node.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -30,6 +31,9 @@
     /// Shutdown, claims and retries of requests.
     #[serde(default)]
     pub requests: RequestSettings,
+    /// Limits on clients.
+    #[serde(default)]
+    pub clients: ClientSettings,
     /// HTTP conventions shared with callers and upstreams.
     #[serde(default)]
     pub conventions: ConventionSettings,
@@ -69,6 +73,23 @@
     /// Number of threads that serve calls; with 0, one thread does everything.
     #[serde(default = "default_threads")]
     pub threads: usize,
+    /// Memory of the VM or of the process's limit; unknown if absent.
+    #[serde(default)]
+    pub memory: Option<ByteSize>,
+    /// Number of descriptors that the process may open; unknown if absent.
+    #[serde(default, deserialize_with = "descriptors")]
+    pub descriptors: Option<u64>,
+}
+
+/// Reads a count that a deploy template may render with a fraction.
+fn descriptors<'de, D: Deserializer<'de>>(from: D) -> Result<Option<u64>, D::Error> {
+    let count = Option::<f64>::deserialize(from)?;
+    match count {
+        Some(count) if !(count.is_finite() && count >= 0.0) => {
+            Err(serde::de::Error::custom("expected a number of descriptors"))
+        }
+        count => Ok(count.map(|count| count as u64)),
+    }
 }
 
 fn default_threads() -> usize {
@@ -183,6 +204,40 @@
     }
 }
 
+/// Limits on what clients of all listeners may hold. Those that are absent derive from `node.memory` and
+/// `node.descriptors`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ClientSettings {
+    /// Bytes that the requests and unread responses of all connections together may take.
+    pub budget: Option<ByteSize>,
+    /// Maximum number of connections of callers.
+    pub call_connections: Option<usize>,
+    /// Maximum number of connections of each other listener for clients.
+    pub tool_connections: Option<usize>,
+    /// Maximum number of header fields of one request.
+    pub max_header_fields: usize,
+    /// Maximum number of requests in flight on one HTTP/2 connection.
+    pub max_streams: u32,
+    /// Time without progress after which the sender of a body or the reader of a response is
+    /// disconnected, in milliseconds.
+    pub stall_ms: u64,
+}
+
+impl Default for ClientSettings {
+    fn default() -> Self {
+        let options = ClientOptions::default();
+        Self {
+            budget: None,
+            call_connections: None,
+            tool_connections: None,
+            max_header_fields: options.max_header_fields,
+            max_streams: options.max_streams,
+            stall_ms: options.stall_timeout.as_millis() as u64,
+        }
+    }
+}
+
 /// HTTP conventions: names of headers, and requirements on an upstream's answer.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/goldcresttallyd/src/statsd.rs
+++ b/goldcresttallyd/src/statsd.rs
@@ -48,7 +48,8 @@
     peer: &Peer,
     last: &mut Map<&'static str, u64>,
 ) -> cadence::MetricResult<()> {
-    for (name, value) in peer.state().counters.read() {
+    let state = peer.state();
+    for (name, value) in state.counters.read().into_iter().chain(state.clients.counters.read()) {
         let before = last.insert(name, value).unwrap_or(0);
         client.count(name, value.saturating_sub(before))?;
     }
