--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -20,7 +20,7 @@
 use super::account;
 use super::feedback::is_overload;
 use super::hedging::Suspicion;
-use crate::body::{CallBody, ReplayableBody, boxed};
+use crate::body::{CallBody, ReplayableBody, boxed, is_over_budget};
 use crate::call_log::{CallEvent, CallInfo};
 use crate::errors::{CallError, Reason};
 use crate::headers;
@@ -164,6 +164,9 @@
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
                 return Err(CallError::not_run(Reason::TooLarge));
             }
+            Ok(Err(e)) if is_over_budget(&*e) => {
+                return Err(CallError::not_run(Reason::MemoryFull));
+            }
             Ok(Err(_)) => return Err(CallError::not_run(Reason::BadRequest)),
             Err(_) => return Err(CallError::not_run(Reason::RequestTimeout)),
         };
@@ -384,7 +387,7 @@
         let late = self.on_time_by.is_past(now);
         let useful_until = if nested || late { self.deadline } else { self.on_time_by };
         let urgency = CallUrgency {
-            rank: self.route.rank.index,
+            rank: self.rank.index,
             nested,
             late,
             time_left: useful_until.remaining(now),
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -72,6 +72,7 @@
     TOKENS_ACCRUING = 1603 Info "tokens of accounts accrue: the number of nodes is known";
     POOL_SKIPPED = 1604 Info "node did not respond to an exchange of tokens: skipped for 2 s";
     METRICS_FAILED = 1701 Warn "metrics could not be sent";
+    CLIENTS_LIMITED = 1801 Warn "clients refused or disconnected at a limit";
     CALL_FAILED = 2001 Info "call ended without an upstream's answer";
     CALL_UPSTREAM_FAILED = 2002 Info "call ended with an upstream's failure";
     CALL_RETRIED = 2003 Info "attempt failed or in doubt: another one is made";
--- a/goldcresttallyd/src/settings/mod.rs
+++ b/goldcresttallyd/src/settings/mod.rs
@@ -6,8 +6,9 @@
 use std::fmt;
 
 pub use types::{
-    ConventionSettings, DistributionSettings, LogLevel, LogSettings, MembershipSettings,
-    MetricsSettings, NodeSettings, QuotaSettings, RequestSettings, Settings, TeamSettings,
+    ClientSettings, ConventionSettings, DistributionSettings, LogLevel, LogSettings,
+    MembershipSettings, MetricsSettings, NodeSettings, QuotaSettings, RequestSettings, Settings,
+    TeamSettings,
 };
 
 /// An error in the settings.
