Let old load reports give way to the mean of all

Cause: a node knows the load of an upstream from the last answer that it had from there. Once that was too old, the upstream counted as empty, so all nodes chose the upstreams that they knew least about, and overran them in turns.

The expected load keeps its fractions, so that the random part of a choice can be smaller.

--- /dev/null
+++ b/goldcresttally-admission/tests/even_load.rs
@@ -0,0 +1,30 @@
+//! Guards against upstreams that are overrun in turns while others idle: many nodes choose by reports
+//! that are old, and an upstream without a recent report looks empty to all of them.
+
+mod rush_fleet;
+
+use rush_fleet::{Fleet, Outcomes, Scenario};
+
+fn run(scenario: &Scenario) -> Vec<Outcomes> {
+    let mut sums = vec![Outcomes::default(); scenario.classes.len()];
+    for seed in 1..4 {
+        for (sum, part) in sums.iter_mut().zip(Fleet::run(scenario.clone(), seed)) {
+            sum.add(&part);
+        }
+    }
+    for (class, sum) in scenario.classes.iter().zip(&sums) {
+        println!("{:7} {sum}", class.name);
+    }
+    sums
+}
+
+/// The same callers, with and without the estimate, with rush control and without it.
+#[test]
+fn more_calls_are_on_time_when_old_reports_give_way_to_the_mean() {
+    for rush_control in [false, true] {
+        let before = run(&Scenario { rush_control, ..Scenario::heavy_day() });
+        let after = run(&Scenario { rush_control, even_load: true, ..Scenario::heavy_day() });
+        let on_time = |all: &[Outcomes]| all.iter().map(|o| o.on_time).sum::<u32>();
+        assert!(on_time(&after) > on_time(&before), "rush control {rush_control}");
+    }
+}
--- a/goldcresttally-admission/tests/rush_fleet/mod.rs
+++ b/goldcresttally-admission/tests/rush_fleet/mod.rs
@@ -63,6 +63,8 @@
     pub classes: Vec<Class>,
     pub floors: Vec<f64>,
     pub rush_control: bool,
+    /// Old load reports give way to the mean of all.
+    pub even_load: bool,
     pub seconds: u64,
 }
 
@@ -88,7 +90,15 @@
         ];
         classes[0].nested = Some((1, 0.7, 2));
         let floors = vec![0.0, 0.12, 0.08, 0.02, 0.02, 0.02, 0.02, 0.02];
-        Self { vms: 72, upstreams: vec![32, 24], classes, floors, rush_control: false, seconds: 4 }
+        Self {
+            vms: 72,
+            upstreams: vec![32, 24],
+            classes,
+            floors,
+            rush_control: false,
+            even_load: false,
+            seconds: 4,
+        }
     }
 }
 
@@ -274,7 +284,7 @@
         let outcomes = vec![Outcomes::default(); scenario.classes.len()];
         let mut fleet = Self {
             rng,
-            picker: Picker::default(),
+            picker: Picker { even_load: scenario.even_load, ..Picker::default() },
             // Long after the endpoints became ready, so that their slow start is over.
             now: MonoTime(10_000_000),
             queue: BinaryHeap::new(),
--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -54,11 +54,13 @@
     pub retry_budget: bool,
     /// Ask for the outcome of an attempt whose connection broke.
     pub settle: bool,
+    /// Let old load reports give way to the mean of all, so that upstreams are loaded evenly.
+    pub even_load: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { throttle: true, retry_budget: true, settle: true }
+        Self { throttle: true, retry_budget: true, settle: true, even_load: false }
     }
 }
 
@@ -97,7 +99,7 @@
             claims,
             recorder,
             tasks,
-            picker: Picker::default(),
+            picker: Picker { even_load: options.even_load, ..Picker::default() },
             ejection: Ejection::default(),
             read_ahead: ReadAhead::default(),
             options,
--- a/goldcresttally-routing/src/endpoint.rs
+++ b/goldcresttally-routing/src/endpoint.rs
@@ -48,6 +48,17 @@
     received_at_us: AtomicU64,
 }
 
+/// Room for calls of one rank, as an endpoint reported it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ReportedRoom {
+    /// Free slots; negative values count the waiting calls.
+    pub free: f64,
+    /// Calls that this node has started there since, less those that have ended.
+    pub started_since: f64,
+    /// Time since the report arrived.
+    pub age: Duration,
+}
+
 fn rank_class(rank: usize) -> usize {
     rank.min(RANK_CLASSES - 1)
 }
@@ -173,6 +184,22 @@
         LoadReport { free, limit, turn_ms, work_ms: 0, link_ms, nested }
     }
 
+    /// Returns the room that was last reported for calls of `rank`, `nested` or not, however long ago;
+    /// `None` without a report.
+    pub fn reported_room(&self, now: MonoTime, rank: usize, nested: bool) -> Option<ReportedRoom> {
+        let reported = &self.reported[load_index(rank, nested)];
+        let at = MonoTime(reported.received_at_us.load(Ordering::Relaxed));
+        if at.0 == 0 {
+            return None;
+        }
+        let own = f64::from(self.in_flight(rank));
+        Some(ReportedRoom {
+            free: f64::from(reported.free.load(Ordering::Relaxed)),
+            started_since: own - f64::from(reported.own_in_flight.load(Ordering::Relaxed)),
+            age: now.since(at),
+        })
+    }
+
     /// Returns when the load that a call of `rank`, `nested` or not, would meet was last reported;
     /// `None` if that is too long ago.
     pub fn reported_at(&self, now: MonoTime, rank: usize, nested: bool) -> Option<MonoTime> {
--- a/goldcresttally-routing/src/lib.rs
+++ b/goldcresttally-routing/src/lib.rs
@@ -1,6 +1,7 @@
 //! Routing at the entry node: endpoint selection, retries, ejection and client-side throttling.
 //!
 //! * [`endpoint`]: an endpoint and this node's statistics about it, kept in atomics.
+//! * [`load_estimate`]: the expected load at endpoints whose reports are old.
 //! * [`load`]: the load that a node reports for its upstreams.
 //! * [`class_table`]: fixed-size concurrent tables of values per call class.
 //! * [`picker`]: selection of the endpoint with the lowest expected cost.
@@ -21,6 +22,7 @@
 pub mod endpoint;
 pub mod link_probe;
 pub mod load;
+pub mod load_estimate;
 pub mod notice;
 pub mod picker;
 pub mod room;
@@ -33,6 +35,7 @@
 pub use ejection::Ejection;
 pub use endpoint::{Endpoint, EndpointStats, Locality};
 pub use load::LoadReport;
+pub use load_estimate::MeanLoad;
 pub use notice::{Notices, UpstreamNotice};
 pub use picker::{PickRequest, Picker};
 pub use room::Room;
--- a/goldcresttally-routing/src/load.rs
+++ b/goldcresttally-routing/src/load.rs
@@ -30,12 +30,9 @@
 
 impl LoadReport {
     /// Returns the expected queueing time of a call that arrives while `free` slots are free, with
-    /// negative values as in [`free`](Self::free).
-    pub fn expected_wait(&self, free: i32) -> Duration {
-        if free > 0 {
-            return Duration::ZERO;
-        }
-        let turns = f64::from(1 - free) / f64::from(self.limit.max(1));
+    /// negative values as in [`free`](Self::free). The number may be an estimate with fractions.
+    pub fn expected_wait(&self, free: f64) -> Duration {
+        let turns = (1.0 - free).max(0.0) / f64::from(self.limit.max(1));
         Duration::from_secs_f64(turns * f64::from(self.turn_ms) / 1000.0)
     }
 }
--- a/goldcresttally-routing/src/picker.rs
+++ b/goldcresttally-routing/src/picker.rs
@@ -10,6 +10,7 @@
 
 use crate::class_table::class_key;
 use crate::endpoint::{Endpoint, Locality};
+use crate::load_estimate::MeanLoad;
 
 /// Service time assumed for a class until an endpoint has reported one, in milliseconds.
 const DEFAULT_SERVICE_TIME_MS: u32 = 100;
@@ -33,6 +34,9 @@
 /// Maximum random part of a cost, which spreads the calls of many nodes over equal endpoints.
 const MAX_JITTER: f64 = 0.02;
 
+/// The same for even load, where the expected load already differs from node to node.
+const MAX_EVEN_JITTER: f64 = 0.005;
+
 /// Bytes sent out of the failure domain that cost as much as one late answer.
 const BYTES_PER_LATE_ANSWER: f64 = 12_000.0;
 
@@ -69,11 +73,14 @@
     /// Time over which the assumed service time of a newly ready endpoint falls from twice the
     /// usual one to the usual one.
     pub slow_start: Duration,
+    /// Whether old reports give way to the mean of all, so that nodes that choose by the same
+    /// reports load the endpoints evenly.
+    pub even_load: bool,
 }
 
 impl Default for Picker {
     fn default() -> Self {
-        Self { slow_start: Duration::from_secs(3) }
+        Self { slow_start: Duration::from_secs(3), even_load: false }
     }
 }
 
@@ -91,12 +98,13 @@
     ) -> Option<&'a Endpoint> {
         let untried = |e: &&Endpoint| !tried.contains(&e.node);
         let healthy = |e: &&Endpoint| untried(e) && e.ready && !e.stats.is_ejected(request.now);
-        let mean_ms = mean_service_time_ms(request, endpoints);
+        let expected = Expected::new(self, request, endpoints);
+        let max_jitter = if self.even_load { MAX_EVEN_JITTER } else { MAX_JITTER };
         let mut cheapest = |list: &mut dyn Iterator<Item = &'a Endpoint>| {
             let mut best: Option<(&Endpoint, f64)> = None;
             for endpoint in list {
-                let jitter = MAX_JITTER * random(1000) as f64 / 1000.0;
-                let cost = self.cost(request, endpoint, mean_ms) + jitter;
+                let jitter = max_jitter * random(1000) as f64 / 1000.0;
+                let cost = self.cost(request, endpoint, &expected) + jitter;
                 if best.is_none_or(|(_, lowest)| cost < lowest) {
                     best = Some((endpoint, cost));
                 }
@@ -114,12 +122,13 @@
         endpoints: &[Endpoint],
         candidates: impl Iterator<Item = &'a Endpoint>,
     ) -> Option<&'a Endpoint> {
-        let mean_ms = mean_service_time_ms(request, endpoints);
-        let costs = candidates.map(|e| (e, self.cost(request, e, mean_ms)));
+        let expected = Expected::new(self, request, endpoints);
+        let costs = candidates.map(|e| (e, self.cost(request, e, &expected)));
         costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(endpoint, _)| endpoint)
     }
 
-    fn cost(&self, request: &PickRequest, endpoint: &Endpoint, mean_ms: u32) -> f64 {
+    fn cost(&self, request: &PickRequest, endpoint: &Endpoint, expected: &Expected) -> f64 {
+        let mean_ms = expected.service_ms;
         let stats = &endpoint.stats;
         let key = class_key(request.rank, request.target.as_millis() as u64);
         let nested = stats.is_nested(key);
@@ -133,12 +142,16 @@
         let slow_start_factor = 2.0 - age.clamp(0.0, 1.0);
         let rtt_ms = if endpoint.locality == Locality::Remote { REMOTE_RTT_MS } else { 0 };
         let transfer = transfer_time(request, endpoint, Duration::from_millis(load.link_ms.into()));
-        let start_delay = load.expected_wait(load.free) + Duration::from_millis(rtt_ms) + transfer;
+        let free = match expected.load {
+            Some(mean) => mean.expected_free(request, nested, endpoint),
+            None => f64::from(load.free),
+        };
+        let start_delay = load.expected_wait(free) + Duration::from_millis(rtt_ms) + transfer;
         let time_left = request.on_time_by.remaining(request.now).saturating_sub(start_delay);
         let late =
             probability_late(time_left.as_secs_f64() * 1000.0, service_ms * slow_start_factor);
         let wait_share = start_delay.as_secs_f64() / request.target.as_secs_f64().max(0.001);
-        let utilization = 1.0 - f64::from(load.free.max(0)) / f64::from(load.limit.max(1));
+        let utilization = 1.0 - free.max(0.0) / f64::from(load.limit.max(1));
         let bytes = match endpoint.locality {
             Locality::Vm | Locality::Domain => 0.0,
             Locality::Region | Locality::Remote => f64::from(request.bytes) + CALL_OVERHEAD_BYTES,
@@ -150,6 +163,26 @@
     }
 }
 
+/// What a call is expected to meet at an endpoint of its service of which nothing else is known.
+struct Expected {
+    /// Service time of its class, in milliseconds.
+    service_ms: u32,
+    /// Load, where old reports give way to it.
+    load: Option<MeanLoad>,
+}
+
+impl Expected {
+    fn new(picker: &Picker, request: &PickRequest, endpoints: &[Endpoint]) -> Self {
+        let service_ms = mean_service_time_ms(request, endpoints);
+        let key = class_key(request.rank, request.target.as_millis() as u64);
+        let load = picker.even_load.then(|| {
+            let nested = endpoints.iter().any(|e| e.stats.is_nested(key));
+            MeanLoad::of(request, nested, endpoints)
+        });
+        Self { service_ms, load: load.flatten() }
+    }
+}
+
 /// Returns the time after which a large body has arrived at the endpoint, where other bodies are
 /// on their way for `wait`.
 fn transfer_time(request: &PickRequest, endpoint: &Endpoint, wait: Duration) -> Duration {
--- a/goldcresttally-routing/src/room.rs
+++ b/goldcresttally-routing/src/room.rs
@@ -104,6 +104,6 @@
         let PickRequest { now, rank, .. } = self.request;
         let nested = endpoint.stats.is_nested(self.key);
         let load = endpoint.stats.load(now, rank, nested, endpoint.slots);
-        load.expected_wait(load.free)
+        load.expected_wait(load.free.into())
     }
 }
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -153,6 +153,8 @@
         let own_thread = settings.node.threads > 0;
         let control = ControlHandle::start(config, own_thread).await?;
         let recorder = Arc::new(Recorder::default());
+        let even_load = settings.requests.even_load || options.entry.even_load;
+        let entry_options = Options { even_load, ..options.entry };
         let claims = Arc::new(ClaimCoordinatorClient::new(control.commands.clone(), table));
         let entry = |links| {
             let claims = Arc::clone(&claims) as _;
@@ -163,7 +165,7 @@
                 claims,
                 recorder,
                 tasks.clone(),
-                options.entry,
+                entry_options,
             );
             HandlerService(Arc::new(entry))
         };
