--- a/goldcresttally-admission/tests/rush_fleet/mod.rs
+++ b/goldcresttally-admission/tests/rush_fleet/mod.rs
@@ -67,6 +67,23 @@
 }
 
 impl Scenario {
+    /// The same load with `factor` times the calls.
+    #[must_use]
+    pub fn scaled(mut self, factor: f64) -> Self {
+        self.classes.iter_mut().for_each(|class| class.per_s *= factor);
+        self
+    }
+
+    /// One service with few upstreams, whose calls are all of the same class.
+    pub fn small_service() -> Self {
+        let mut scenario = Self::heavy_day();
+        scenario.classes.truncate(1);
+        scenario.classes[0].nested = None;
+        scenario.classes[0].per_s = 270.0;
+        scenario.upstreams = vec![5];
+        scenario
+    }
+
     /// Two services as on an uneven deployment on its heaviest day: `menu` runs make nested calls
     /// to `checkout`, which also takes calls of its own.
     pub fn heavy_day() -> Self {
--- a/goldcresttally-admission/tests/rush_outcomes.rs
+++ b/goldcresttally-admission/tests/rush_outcomes.rs
@@ -59,3 +59,28 @@
     let attempts = |o: &Outcomes| f64::from(o.attempts) / f64::from(o.asked);
     assert!(attempts(menu) < attempts(&before[0]), "{menu}");
 }
+
+#[test]
+fn usual_load_is_served_as_well_as_before() {
+    // From three quarters of the heavy day on, a third of the calls to the first service is refused.
+    for factor in [0.35, 0.5] {
+        let usual = Scenario::heavy_day().scaled(factor);
+        let before = run(&usual, 1..3);
+        let after = run(&Scenario { rush_control: true, ..usual }, 1..3);
+        for (before, after) in before.iter().zip(&after) {
+            let share = |o: &Outcomes| f64::from(o.on_time) / f64::from(o.asked);
+            assert!(share(after) > share(before) - 0.02, "{after} after {before}");
+        }
+    }
+}
+
+#[test]
+fn small_overloaded_service_answers_on_time_or_refuses_at_once() {
+    let scenario = Scenario::small_service();
+    let before = &run(&scenario, 1..6)[0];
+    let after = &run(&Scenario { rush_control: true, ..scenario }, 1..6)[0];
+    let share = |n: u32, o: &Outcomes| f64::from(n) / f64::from(o.asked);
+    assert!(share(after.on_time, after) > share(before.on_time, before) - 0.03, "{after}");
+    assert!(after.late * 2 < before.late, "{after} after {before}");
+    assert!(after.refused_late * 20 < after.asked, "{after}");
+}
