Overload: keyed calls are told when to come back; random events under rush control

Cause: only refusals of calls without an idempotency key named the time of the next room. The random event test did not cover rush control, in which slots are kept free.

Change: Retry-After is added where both kinds of calls end. The test runs with and without the setting and also checks that no call waits beside an idle upstream.

--- a/goldcresttally-admission/tests/random_events.rs
+++ b/goldcresttally-admission/tests/random_events.rs
@@ -1,16 +1,34 @@
-//! Guards the invariants under random event sequences: the limit on running calls holds, and no
-//! call is refused twice or while it runs.
+//! Guards the invariants under random event sequences: the limit on running calls holds, no call is
+//! refused twice or while it runs, and none waits beside an idle upstream.
 
 mod common;
 
 use common::Bench;
-use goldcresttally_admission::{CallId, Outcome};
+use goldcresttally_admission::{CallId, Event, Options, Outcome};
 
 #[test]
 fn limit_holds_and_calls_end_once() {
+    check(false);
+}
+
+#[test]
+fn limit_holds_and_calls_end_once_under_rush_control() {
+    check(true);
+}
+
+fn check(rush_control: bool) {
     arbtest::arbtest(|u| {
         let limit = u.int_in_range(1..=6)?;
-        let mut bench = Bench::new(limit, u.int_in_range(0..=8)?, &[0.0, 0.2, 0.1]);
+        let queue_capacity = u.int_in_range(0..=8)?;
+        let floor_shares = vec![0.0, 0.2, 0.1];
+        let mut bench = Bench::new(limit, queue_capacity, &floor_shares);
+        bench.step(Event::Configure(Options {
+            max_concurrency: limit,
+            queue_capacity,
+            floor_shares,
+            rush_control,
+            ..Options::default()
+        }));
         let mut running: Vec<CallId> = Vec::new();
         let mut ended = std::collections::BTreeSet::new();
         for ms in 0..u.int_in_range(0..=80)? {
@@ -40,6 +58,7 @@
             }
             assert!(bench.running() <= limit as usize);
             assert_eq!(bench.running(), running.len());
+            assert!(bench.running() > 0 || bench.waiting() == 0, "calls wait for an idle upstream");
         }
         Ok(())
     });
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -146,10 +146,11 @@
             Ok(Err(_)) => return Err(CallError::not_run(Reason::BadRequest)),
             Err(_) => return Err(CallError::not_run(Reason::RequestTimeout)),
         };
-        match &self.key {
+        let result = match &self.key {
             Some(key) => self.run_keyed(key, &body, tries).await,
             None => self.run_unkeyed(&body, tries).await,
-        }
+        };
+        result.map_err(|error| self.with_retry_after(error, tries.tried().len()))
     }
 
     /// Returns the fields of the call for the call log.
@@ -184,10 +185,7 @@
     ) -> Result<Response<CallBody>, CallError> {
         let result = self.try_until_answered(tries, body).await;
         // An earlier attempt may have run even if the last one did not: keep the worst verdict.
-        result.map_err(|e| {
-            let error = CallError { verdict: e.verdict.max(tries.verdict()), ..e };
-            self.with_retry_after(error, tries.tried().len())
-        })
+        result.map_err(|e| CallError { verdict: e.verdict.max(tries.verdict()), ..e })
     }
 
     /// Returns whether a response is a server error that another upstream may not return: the call
