--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -178,7 +178,6 @@
         if let (Some(token), Err(error)) = (token, &result) {
             token.settle(error.verdict);
         }
-        result
         result.map_err(|error| self.with_retry_after(error, tries.tried().len()))
     }
 
@@ -248,7 +247,7 @@
             // Every endpoint was tried. One that refused the call may accept it by now.
             .or_else(|| self.entry.picker.pick(&request, all, in_flight, random));
         let endpoint = picked.ok_or_else(|| CallError::not_run(Reason::NoEndpoint))?.clone();
-        tries.begin_at(now, endpoint.node);
+        tries.begin(endpoint.node);
         Ok(Attempt { id: self.entry.state.next_attempt_id(), endpoint })
     }
 
--- a/goldcresttally-routing/src/attempts.rs
+++ b/goldcresttally-routing/src/attempts.rs
@@ -47,8 +47,6 @@
     redirects: usize,
     next_redirect: Option<NodeId>,
     verdict: Verdict,
-    /// When the last attempt started.
-    last_started: MonoTime,
 }
 
 impl CallAttempts {
@@ -58,17 +56,6 @@
         self.in_flight += 1;
     }
 
-    /// Records the start of an attempt at `node` and its time.
-    pub fn begin_at(&mut self, now: MonoTime, node: NodeId) {
-        self.last_started = now;
-        self.begin(node);
-    }
-
-    /// Returns when the last attempt that was recorded with its time started.
-    pub fn last_started(&self) -> MonoTime {
-        self.last_started
-    }
-
     /// Returns the nodes that were tried.
     pub fn tried(&self) -> &[NodeId] {
         &self.tried
--- a/goldcresttally-routing/src/room.rs
+++ b/goldcresttally-routing/src/room.rs
@@ -5,18 +5,25 @@
 
 use std::time::Duration;
 
-use goldcresttally_core::MonoTime;
-
 use crate::attempts::CallAttempts;
 use crate::class_table::class_key;
 use crate::endpoint::Endpoint;
 use crate::picker::{PickRequest, Picker, mean_service_time};
 
-/// Maximum number of attempts of a call that is refused for lack of room.
-const MAX_ATTEMPTS: usize = 2;
+/// Maximum number of attempts of a call that is refused for lack of room: each further one costs a
+/// round trip between nodes.
+const MAX_ATTEMPTS: usize = 3;
+
+/// Service time to allow for in the wait of a further attempt, as a multiple of the average, as in
+/// the admission of the upstream's node.
+const SERVICE_TIME_MARGIN: f64 = 1.6;
+
+/// Share of its slack that a call may be expected to wait in a further attempt: every second wait is
+/// longer than expected.
+const FURTHER_WAIT_SHARE: f64 = 0.5;
 
-/// Maximum age of a report by which a nested call is attempted once more, in milliseconds. A nested
-/// call that fails wastes the run that made it, so the report may be older than for new calls.
+/// Maximum age of a report by which a nested call is attempted again, in milliseconds. A nested call
+/// that fails wastes the run that made it.
 const NESTED_REPORT_AGE_MS: u64 = 300;
 
 /// Minimum time after which a refused caller may come back, in milliseconds.
@@ -61,23 +68,24 @@
             || self.is_nested()
     }
 
-    /// Returns where to attempt the call once more after it was refused for lack of room; `None` if
-    /// it is not to be attempted again. Only a report newer than the start of the refused attempt
-    /// can say that there is room now.
+    /// Returns where to attempt the call next after it was refused for lack of room; `None` if it is
+    /// not to be attempted again. Only an endpoint with a recent report is attempted, and only if the
+    /// call can start there early enough to be on time.
     pub fn another_attempt(&self, tries: &CallAttempts) -> Option<&'a Endpoint> {
         if tries.tried().len() >= MAX_ATTEMPTS {
             return None;
         }
+        let PickRequest { now, rank, on_time_by, .. } = self.request;
         let nested = self.is_nested();
-        let since = match nested {
-            true => MonoTime(self.request.now.0.saturating_sub(NESTED_REPORT_AGE_MS * 1000)),
-            false => tries.last_started(),
-        };
-        let PickRequest { now, rank, .. } = self.request;
+        let work = mean_service_time(&self.request, self.endpoints).unwrap_or_default();
+        let slack = on_time_by.remaining(now).saturating_sub(work.mul_f64(SERVICE_TIME_MARGIN));
+        let max_wait = slack.mul_f64(FURTHER_WAIT_SHARE);
+        let max_age = nested.then_some(Duration::from_millis(NESTED_REPORT_AGE_MS));
         let has_room = |e: &&Endpoint| {
             let reported_at = e.stats.reported_at(now, rank, nested);
-            reported_at.is_some_and(|at| at > since)
-                && e.stats.load(now, rank, nested, e.slots).free > 0
+            let recent =
+                reported_at.is_some_and(|at| max_age.is_none_or(|max| now.since(at) <= max));
+            recent && self.wait_at(e) <= max_wait
         };
         let candidates = self.usable().filter(|e| !tries.tried().contains(&e.node));
         self.picker.cheapest(&self.request, self.endpoints, candidates.filter(has_room))
