--- a/goldcresttally-proxy/src/entry/mod.rs
+++ b/goldcresttally-proxy/src/entry/mod.rs
@@ -188,6 +188,10 @@
         result: &Result<Response<CallBody>, CallError>,
         latency: Duration,
     ) {
+        // A refusal for the account's limit says nothing about the service.
+        if result.as_ref().is_err_and(|error| error.reason == Reason::OverLimit) {
+            return;
+        }
         let answered = result.as_ref().is_ok_and(|r| !r.status().is_server_error());
         let good = answered && latency <= call.route.target;
         self.recorder.record(&call.service.name, &call.rank.name, latency, good);
--- a/goldcresttally-quota/src/exchange.rs
+++ b/goldcresttally-quota/src/exchange.rs
@@ -8,7 +8,7 @@
 use goldcresttally_core::{AccountName, Deadline, DomainId, Map, MonoTime, NodeId};
 
 use crate::bucket::{Bucket, State, View};
-use crate::members::{Members, MembersView, Shares};
+use crate::members::{Members, MembersView, Shares, choose};
 use crate::message::{Amount, Grant, Kind, Request, Response};
 use crate::meter::Meter;
 use crate::quotas::{Limit, Quotas};
@@ -630,9 +630,9 @@
         let mut idle = Vec::new();
         let mut has_tokens_for_waiting = false;
         let mut as_pool = Vec::new();
+        let candidates = self.members.own_candidates(|id| self.is_skipped(now, id));
         for (name, active) in &mut self.active {
-            let skipped = |id| self.skipped.get(&id).is_some_and(|until| *until > now);
-            let pool = self.members.own_pool(name, skipped);
+            let pool = choose(&candidates, name).unwrap_or(self.own);
             let is_pool = pool == self.own || active.pool_until > now;
             let mut state = active.bucket.lock();
             state.set_pool(now, is_pool);
--- a/goldcresttally-quota/src/members.rs
+++ b/goldcresttally-quota/src/members.rs
@@ -151,10 +151,14 @@
         own.map_or(std::slice::from_ref(&self.own), |(_, members)| members)
     }
 
+    /// Returns the nodes that may be pools in this node's domain, leaving out `skipped` nodes.
+    pub fn own_candidates(&self, skipped: impl Fn(NodeId) -> bool) -> Vec<NodeId> {
+        candidates(self.own_domain(), |id| id == self.own || !skipped(id)).collect()
+    }
+
     /// Returns the pool of an account in this node's domain, leaving out `skipped` nodes.
     pub fn own_pool(&self, account: &AccountName, skipped: impl Fn(NodeId) -> bool) -> NodeId {
-        let usable = |id| id == self.own || !skipped(id);
-        pool(self.own_domain(), account, usable).unwrap_or(self.own)
+        choose(&self.own_candidates(skipped), account).unwrap_or(self.own)
     }
 
     /// Returns the pools of an account in the other domains, leaving out `skipped` nodes.
@@ -164,7 +168,11 @@
         skipped: impl Fn(NodeId) -> bool,
     ) -> Vec<NodeId> {
         let others = self.domains.iter().filter(|(domain, _)| *domain != self.own_domain);
-        others.filter_map(|(_, members)| pool(members, account, |id| !skipped(id))).collect()
+        let pool = |members: &[NodeId]| {
+            let candidates: Vec<_> = candidates(members, |id| !skipped(id)).collect();
+            choose(&candidates, account)
+        };
+        others.filter_map(|(_, members)| pool(members)).collect()
     }
 }
 
@@ -173,15 +181,16 @@
     counted.dead_since.is_none_or(|since| now.since(since) < DEAD_COUNTED)
 }
 
-fn pool(
-    members: &[NodeId],
-    account: &AccountName,
-    usable: impl Fn(NodeId) -> bool,
-) -> Option<NodeId> {
-    let candidates = members.len().div_ceil(MEMBERS_PER_POOL);
-    let mut usable = members.iter().copied().filter(|id| usable(*id));
-    if candidates == 1 {
-        return usable.next();
+/// Returns the usable members from which the pools of a domain are chosen.
+fn candidates(members: &[NodeId], usable: impl Fn(NodeId) -> bool) -> impl Iterator<Item = NodeId> {
+    let count = members.len().div_ceil(MEMBERS_PER_POOL);
+    members.iter().copied().filter(move |id| usable(*id)).take(count)
+}
+
+/// Returns the pool of an account among the candidates.
+pub(crate) fn choose(candidates: &[NodeId], account: &AccountName) -> Option<NodeId> {
+    match candidates {
+        [only] => Some(*only),
+        _ => rendezvous::choose(candidates.iter().copied(), account.as_str()),
     }
-    rendezvous::choose(usable.take(candidates), account.as_str())
 }
