Let a gate before the local upstreams close, pace and count calls

A rollout must be able to stop calls to an upstream at the end of a lease and to limit their rate, and needs counts of answers, failures and times by class of call.

The peer gets an optional gate: it is checked by the boot clock before a call is admitted and again before it is sent, its rate limits the admission together with a rate that the upstream names, and calls that it refuses are not run (`closed`). Nothing is counted while no rollout is under way, and without a gate the request path does one more load of a pointer.

A door counts as foreign until the members are known, so that a release without an order is not open for a moment when its upstream announces itself.

--- a/goldcresttally-proxy/src/counters.rs
+++ b/goldcresttally-proxy/src/counters.rs
@@ -64,6 +64,8 @@
     cancelled,
     /// Bodies refused because they could not arrive over the link in time.
     link_full,
+    /// Attempts refused because a rollout does not let calls through to the upstream.
+    rollout_refused,
     /// Endpoints ejected after failures.
     ejections,
 }
--- a/goldcresttally-proxy/src/entry/feedback.rs
+++ b/goldcresttally-proxy/src/entry/feedback.rs
@@ -148,6 +148,7 @@
         | Reason::ConnectionLost
         | Reason::StaleGeneration
         | Reason::Draining
+        | Reason::Closed
         | Reason::NoEndpoint => true,
         Reason::Deadline => error.verdict != Verdict::NotRun,
         _ => false,
--- a/goldcresttally-proxy/src/errors.rs
+++ b/goldcresttally-proxy/src/errors.rs
@@ -64,6 +64,8 @@
     LinkFull = "link-full" => SERVICE_UNAVAILABLE,
     /// The upstream or its node is stopping.
     Draining = "draining" => SERVICE_UNAVAILABLE,
+    /// A rollout does not let calls through to the upstream.
+    Closed = "closed" => SERVICE_UNAVAILABLE,
     /// The upstream shed the call.
     Shed = "shed" => SERVICE_UNAVAILABLE,
     /// The attempt was settled or cancelled before it could run.
--- a/goldcresttally-proxy/src/peer/limiter.rs
+++ b/goldcresttally-proxy/src/peer/limiter.rs
@@ -9,7 +9,7 @@
     Action, Admission, CallClass, CallId, Event, Load, NamedLimit, Options, Outcome, Policy,
     Refusal,
 };
-use goldcresttally_core::{Generation, InstanceId, Map, MonoTime};
+use goldcresttally_core::{Generation, InstanceId, Map, MonoTime, Rate};
 use goldcresttally_routing::{LoadReport, UpstreamNotice};
 use http::{HeaderMap, HeaderValue};
 use tokio::sync::oneshot;
@@ -37,6 +37,8 @@
     last_call: u64,
     actions: Vec<Action>,
     named_limit: NamedLimit,
+    /// The rate that a rollout allows.
+    gate_rate: Option<Rate>,
     /// Whether the upstream has said that it is leaving.
     leaving: bool,
 }
@@ -93,6 +95,7 @@
             last_call: 0,
             actions: Vec::new(),
             named_limit: NamedLimit::default(),
+            gate_rate: None,
             leaving: false,
         };
         Self {
@@ -167,7 +170,7 @@
         let mut inner = self.lock();
         let rate = state.conventions.named_rate(map);
         if inner.named_limit.on_answer(state.clock.now(), sent_at, rate) {
-            inner.apply(state, Event::LimitRate(rate), None);
+            inner.limit_rate(state);
             news.push(CallEvent::UpstreamLimited { rate });
         }
         if state.conventions.names_leaving(map) && inner.set_leaving(state) {
@@ -187,7 +190,7 @@
         if let Some(rate) = notice.rate
             && inner.named_limit.on_report(state.clock.now(), rate)
         {
-            inner.apply(state, Event::LimitRate(Some(rate)), None);
+            inner.limit_rate(state);
         }
         if notice.leaving {
             inner.set_leaving(state);
@@ -207,6 +210,15 @@
         self.lock().leaving
     }
 
+    /// Sets the rate that a rollout allows; `None` for no limit.
+    pub(super) fn set_gate_rate(&self, state: &NodeState, rate: Option<Rate>) {
+        let mut inner = self.lock();
+        if inner.gate_rate != rate {
+            inner.gate_rate = rate;
+            inner.limit_rate(state);
+        }
+    }
+
     /// Records whether a call could be sent to the upstream.
     pub(super) fn record_send(&self, sent: bool) {
         if sent {
@@ -324,6 +336,15 @@
 }
 
 impl Inner {
+    /// Applies the lower one of the upstream's own rate limit and that of a rollout.
+    fn limit_rate(&mut self, state: &NodeState) {
+        let rate = match (self.named_limit.rate(), self.gate_rate) {
+            (Some(named), Some(gate)) => Some(Rate(named.0.min(gate.0))),
+            (named, gate) => named.or(gate),
+        };
+        self.apply(state, Event::LimitRate(rate), None);
+    }
+
     /// Takes no new calls from now on; returns whether that is new.
     fn set_leaving(&mut self, state: &NodeState) -> bool {
         if std::mem::replace(&mut self.leaving, true) {
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -7,6 +7,7 @@
 mod limiter;
 mod read_budget;
 mod reserve;
+mod rollout;
 mod run;
 mod settle;
 mod spawn_on_drop;
@@ -17,7 +18,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use goldcresttally_admission::{Load, Policy, TransferLoad};
 use goldcresttally_core::{AttemptId, BitRate, Generation, InstanceId, Map, ServiceName};
 use http::{Request, Response};
@@ -33,6 +34,7 @@
 use attempts::AttemptLedger;
 pub use health::Health;
 pub use limiter::Limiter;
+pub use rollout::{AnswerCount, RolloutGate};
 use spawn_on_drop::SpawnOnDrop;
 use transfers::{ArrivingBody, TransferQueue};
 
@@ -67,6 +69,7 @@
     transfers: Arc<TransferQueue>,
     policy: Policy,
     redirects: bool,
+    rollout_gate: ArcSwapOption<RolloutGate>,
 }
 
 impl Peer {
@@ -89,6 +92,7 @@
             transfers,
             policy,
             redirects,
+            rollout_gate: ArcSwapOption::empty(),
         }
     }
 
@@ -122,6 +126,7 @@
             let limiter =
                 prev.map_or_else(|| Arc::new(Limiter::new(upstream, self.state.clock)), Arc::clone);
             limiter.configure(&self.state, upstream, self.policy);
+            limiter.set_gate_rate(&self.state, self.rollout_rate(&upstream.service));
             limiters.entry(upstream.service.clone()).or_default().push(limiter);
         }
         let kept =
@@ -245,6 +250,7 @@
             call_id: self.state.conventions.id_of(&parts.headers).to_owned(),
             started: self.state.clock.now(),
             cancelled,
+            sent_call: None,
             response_tx: Some(tx),
         };
         let run = SpawnOnDrop::new(run.run(parts, body), self.tasks.clone());
--- a/goldcresttally-proxy/src/peer/run.rs
+++ b/goldcresttally-proxy/src/peer/run.rs
@@ -18,6 +18,7 @@
 use super::attempts::Cancellation;
 use super::limiter::{Limiter, Permit};
 use super::read_budget::UpstreamBody;
+use super::rollout::SentCall;
 use super::upstream::{Connection, ConnectionChoice, UpstreamError};
 use super::upstream_messages::{
     ResponseKind, SentRequest, is_large, is_overload, prepare_response_headers, upstream_request,
@@ -47,6 +48,8 @@
     /// When the attempt was started, after the start of its body had arrived.
     pub started: MonoTime,
     pub cancelled: Cancellation,
+    /// Counts the call for a rollout once it is sent to the upstream.
+    pub sent_call: Option<SentCall>,
     /// Sends the response to the entry, once.
     pub response_tx: Option<oneshot::Sender<Response<CallBody>>>,
 }
@@ -61,6 +64,9 @@
         if let Some(notice) = &self.info.notice {
             limiter.adopt(&peer.state, notice);
         }
+        if !peer.admits(&self.info.service) {
+            return self.refuse_closed();
+        }
         let acquired = tokio::select! {
             acquired = limiter.acquire(&peer.state, &self.info) => acquired,
             reason = self.cancelled.wait() => Err(CallError::not_run(*reason)),
@@ -69,6 +75,10 @@
             Ok(permit) => permit,
             Err(error) => return self.refuse(error),
         };
+        // The gate may have closed, by the end of a lease too, since the call was admitted.
+        if !peer.admits(&self.info.service) {
+            return self.refuse_closed();
+        }
         // The process may have been paused since the call was admitted.
         if self.info.deadline.is_past(peer.state.clock.now()) {
             return self.refuse(CallError::not_run(Reason::Deadline));
@@ -77,6 +87,7 @@
             return self.refuse(error);
         }
         peer.state.counters.dispatched.increment();
+        self.sent_call = peer.count_sent(&self.info, parts.uri.path());
         let reusable = self.call_upstream(&limiter, &mut permit, parts, body).await;
         // The slot is freed as soon as the response is complete. Checking that the connection is
         // reusable may take longer.
@@ -111,12 +122,14 @@
         let sent = tokio::select! {
             sent = limiter.pool().send(&*peer.transport, &peer.tasks, req, choice) => sent,
             () = tokio::time::sleep_until(limit) => {
+                self.count_failed();
                 self.abandon(Reason::Deadline);
                 return None;
             }
             reason = self.cancelled.wait() => {
                 peer.state.counters.cancelled.increment();
                 let reason = *reason;
+                self.count_given_up();
                 self.abandon(reason);
                 return None;
             }
@@ -165,7 +178,10 @@
                 self.refuse(CallError::not_run(Reason::StaleInstance));
             }
             // The call's own response may follow, but the connection cannot be trusted.
-            ResponseKind::Mismatched => self.abandon(Reason::ConnectionLost),
+            ResponseKind::Mismatched => {
+                self.count_failed();
+                self.abandon(Reason::ConnectionLost);
+            }
             ResponseKind::Malformed => self.fail_bad_response(),
             ResponseKind::Valid => {
                 return self
@@ -185,6 +201,11 @@
     ) -> Option<Connection> {
         let (mut parts, body) = response.into_parts();
         let overloaded = is_overload(parts.status);
+        if parts.status.is_server_error() && !overloaded {
+            self.count_failed();
+        } else if let Some(sent) = &mut self.sent_call {
+            sent.on_answer(self.peer.state.clock.now());
+        }
         let bodiless = method == Method::HEAD;
         let large = !bodiless && is_large(&parts.headers);
         prepare_response_headers(&mut parts.headers, &self.peer, &self.info);
@@ -196,6 +217,9 @@
         if !whole {
             return None;
         }
+        if let Some(sent) = self.sent_call.take() {
+            sent.answered();
+        }
         permit.set_outcome(if overloaded { Outcome::Shed } else { Outcome::Answered });
         Some(connection)
     }
@@ -209,6 +233,7 @@
             read = tokio::time::timeout_at(limit, read_up_to_limit(body)) => read,
             reason = self.cancelled.wait() => {
                 let reason = *reason;
+                self.count_given_up();
                 self.abandon(reason);
                 return false;
             }
@@ -223,6 +248,7 @@
                 return false;
             }
             Err(_) => {
+                self.count_failed();
                 self.abandon(Reason::Deadline);
                 return false;
             }
@@ -280,10 +306,18 @@
         state.call_log.record(&call, event);
     }
 
+    fn refuse_closed(&mut self) {
+        self.peer.state.counters.rollout_refused.increment();
+        self.refuse(CallError::not_run(Reason::Closed));
+    }
+
     fn refuse(&mut self, mut error: CallError) {
         self.peer.attempts.not_run(self.info.attempt);
         self.log_end(error.verdict, error.reason);
-        if matches!(error.reason, Reason::Overloaded | Reason::Draining | Reason::Shed) {
+        if matches!(
+            error.reason,
+            Reason::Overloaded | Reason::Draining | Reason::Closed | Reason::Shed
+        ) {
             error.redirect = self.peer.redirect_hint(&self.info);
         }
         let mut response = error.into_response();
@@ -301,7 +335,22 @@
         self.send(CallError::may_have_run(reason).into_response());
     }
 
+    /// Counts the call as failed by the upstream.
+    fn count_failed(&mut self) {
+        if let Some(sent) = self.sent_call.take() {
+            sent.failed();
+        }
+    }
+
+    /// Counts the call as failed by the upstream if it was given up after its target.
+    fn count_given_up(&mut self) {
+        if let Some(sent) = self.sent_call.take() {
+            sent.given_up(self.peer.state.clock.now());
+        }
+    }
+
     fn fail_bad_response(&mut self) {
+        self.count_failed();
         self.peer.attempts.done(self.info.attempt, None);
         self.log_end(Verdict::Ran, Reason::BadAnswer);
         self.send(CallError::ran(Reason::BadAnswer).into_response());
--- a/goldcresttally-rollout/src/door.rs
+++ b/goldcresttally-rollout/src/door.rs
@@ -91,7 +91,7 @@
             epoch: 0,
             knowledge: Knowledge::Unknown,
             established: false,
-            is_foreign: false,
+            is_foreign: true,
         }
     }
 }
@@ -102,6 +102,8 @@
     pub fn set_release(&mut self, release: Option<ReleaseName>) {
         if release.is_some() && release != self.release {
             self.established = false;
+            // Not known before the members are looked at.
+            self.is_foreign = true;
             self.release = release;
         }
     }
--- a/goldcresttally-rollout/tests/changing_doors.rs
+++ b/goldcresttally-rollout/tests/changing_doors.rs
@@ -151,5 +151,7 @@
     }
     let mut unnamed = door("v1");
     unnamed.on_resolved(now, Resolved::NoOrder);
+    assert_eq!(unnamed.gate(now), Gate::Closed, "before the other members are known");
+    unnamed.set_foreign(false);
     assert_eq!(unnamed.gate(now), Gate::Open);
 }
