Carry out rollouts: store, messages, driver and settings

The decider and the door of a rollout need orders and rows from the store, stages and reports between nodes, and a way to open and close the upstream beside a node.

* The driver (control/rollout.rs) sends stages over the control connections, applies the door's gate and publishes a closed upstream as draining.
Announcements and membership records carry the release where rollouts are enabled.

--- a/goldcresttally-membership/src/record.rs
+++ b/goldcresttally-membership/src/record.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 
 use goldcresttally_core::{
-    BitRate, DomainId, Generation, Incarnation, NodeId, RegionId, ServiceName, text_enum,
+    BitRate, DomainId, Generation, Incarnation, NodeId, RegionId, ReleaseName, ServiceName,
+    text_enum,
 };
 
 /// The liveness of a node as the members see it.
@@ -67,6 +68,8 @@
     pub slots: u32,
     /// Its state.
     pub state: UpstreamState,
+    /// The release of its software, if upstreams name one and rollouts are enabled.
+    pub release: Option<ReleaseName>,
 }
 
 /// The replicated state of one node.
--- a/goldcresttally-membership/src/registry.rs
+++ b/goldcresttally-membership/src/registry.rs
@@ -5,7 +5,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use goldcresttally_core::{Deadline, Generation, InstanceId, Map, MonoTime, ServiceName};
+use goldcresttally_core::{
+    Deadline, Generation, InstanceId, Map, MonoTime, ReleaseName, ServiceName,
+};
 
 use crate::record::{Upstream, UpstreamState};
 
@@ -33,12 +35,19 @@
     pub state: UpstreamState,
     /// The process at the address, if the upstream reports it.
     pub process: Option<UpstreamProcess>,
+    /// The release of its software, if the upstream names it.
+    pub release: Option<ReleaseName>,
+    /// How much longer the upstream is slow after its start.
+    pub cold_left: Duration,
 }
 
 impl fmt::Display for Announcement {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { service, address, slots, state, process } = self;
+        let Self { service, address, slots, state, process, release, .. } = self;
         write!(f, "{service} at {address} with {slots} slots, {state}")?;
+        if let Some(release) = release {
+            write!(f, " release={release}")?;
+        }
         let Some(UpstreamProcess { instance, generation, sequence }) = process else {
             return Ok(());
         };
@@ -213,7 +222,9 @@
         };
         lease.deadline = deadline;
         let stored = &lease.announcement;
-        let unchanged = stored.slots == announcement.slots && stored.state == announcement.state;
+        let unchanged = stored.slots == announcement.slots
+            && stored.state == announcement.state
+            && stored.release == announcement.release;
         if stored.state == UpstreamState::Draining || unchanged {
             return AnnounceOutcome::Renewed;
         }
@@ -363,8 +374,12 @@
 
     /// Returns the current upstreams in the form sent to other nodes.
     pub fn summary(&self, now: MonoTime) -> Vec<Upstream> {
-        let upstream =
-            |a: Announcement| Upstream { service: a.service, slots: a.slots, state: a.state };
+        let upstream = |a: Announcement| Upstream {
+            service: a.service,
+            slots: a.slots,
+            state: a.state,
+            release: a.release,
+        };
         self.current(now).into_iter().map(upstream).collect()
     }
 }
--- a/goldcresttally-membership/tests/common/mod.rs
+++ b/goldcresttally-membership/tests/common/mod.rs
@@ -32,7 +32,7 @@
 }
 
 pub fn upstream(state: UpstreamState) -> Vec<Upstream> {
-    vec![Upstream { service: "booking".parse().unwrap(), slots: 4, state }]
+    vec![Upstream { service: "booking".parse().unwrap(), slots: 4, state, release: None }]
 }
 
 pub struct Network {
--- a/goldcresttally-membership/tests/paused_process.rs
+++ b/goldcresttally-membership/tests/paused_process.rs
@@ -18,6 +18,8 @@
         slots: 4,
         state,
         process: None,
+        release: None,
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
--- a/goldcresttally-membership/tests/upstream_processes.rs
+++ b/goldcresttally-membership/tests/upstream_processes.rs
@@ -26,6 +26,8 @@
             generation: Generation(generation),
             sequence,
         }),
+        release: None,
+        cold_left: std::time::Duration::ZERO,
     }
 }
 
--- a/goldcresttally-wire/schema/wire.capnp
+++ b/goldcresttally-wire/schema/wire.capnp
@@ -21,6 +21,8 @@
   service @0 :Text;
   slots @1 :UInt32;
   state @2 :UpstreamState;
+  release @3 :Text;
+  # Empty when the upstream names none, or where rollouts are not enabled.
 }
 
 struct Record {
@@ -147,7 +149,7 @@
   rateMilli @5 :UInt64;
   # Thousandths of a call per second that this node may let through; the maximum for no limit.
   validMs @6 :UInt32;
-  # Time for which the stage holds after it was received.
+  # Time for which the stage holds after it was received; the maximum for one that does not expire.
 }
 
 struct RolloutClass {
@@ -167,6 +169,10 @@
   received @2 :UInt64;
   inFlight @3 :UInt32;
   classes @4 :List(RolloutClass);
+  held @5 :RolloutStage;
+  # The stage that the node holds; null without one. Its time is what was given, not what is left.
+  informed @6 :Bool;
+  # Whether the node knows whether there is an order.
 }
 
 interface Control {
@@ -192,4 +198,5 @@
   # needed.
 
   rollout @8 (stage :RolloutStage) -> (report :RolloutReport);
+  # A stage without a release only asks for the report.
 }
--- a/goldcresttally-wire/src/lib.rs
+++ b/goldcresttally-wire/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`wire_capnp`]: the code generated from `schema/wire.capnp`.
 //! * [`record`]: conversion of membership records.
+//! * [`rollout`]: conversion of stages and reports of rollouts.
 //! * [`datagram`]: encoding and decoding of membership datagrams.
 //! * [`update`]: conversion of version updates.
 //! * [`errors`]: the error type of this crate.
@@ -11,6 +12,7 @@
 pub mod errors;
 mod generated;
 pub mod record;
+pub mod rollout;
 pub mod update;
 
 pub use errors::{Error, Result};
--- a/goldcresttally-wire/src/record.rs
+++ b/goldcresttally-wire/src/record.rs
@@ -27,6 +27,9 @@
         to.set_service(upstream.service.as_str());
         to.set_slots(upstream.slots);
         to.set_state(write_state(upstream.state));
+        if let Some(release) = &upstream.release {
+            to.set_release(release.as_str());
+        }
     }
 }
 
@@ -34,10 +37,12 @@
 pub fn read(from: wire_capnp::record::Reader<'_>) -> Result<Record> {
     let mut upstreams = Vec::with_capacity(from.get_upstreams()?.len().min(64) as usize);
     for upstream in from.get_upstreams()? {
+        let release = upstream.get_release()?.to_str()?;
         upstreams.push(Upstream {
             service: upstream.get_service()?.to_str()?.parse()?,
             slots: upstream.get_slots(),
             state: read_state(upstream.get_state()?),
+            release: if release.is_empty() { None } else { Some(release.parse()?) },
         });
     }
     let control = address::from_words(from.get_ip_high(), from.get_ip_low());
--- a/goldcresttally-wire/tests/decoders.rs
+++ b/goldcresttally-wire/tests/decoders.rs
@@ -19,7 +19,13 @@
 fn record(u: &mut Unstructured<'_>) -> Result<Record> {
     let state =
         *u.choose(&[UpstreamState::Starting, UpstreamState::Ready, UpstreamState::Draining])?;
-    let upstream = Upstream { service: "booking".parse().unwrap(), slots: u.arbitrary()?, state };
+    let release = *u.choose(&[None, Some("v2.11"), Some("2026-12-07_a")])?;
+    let upstream = Upstream {
+        service: "booking".parse().unwrap(),
+        slots: u.arbitrary()?,
+        state,
+        release: release.map(|name| name.parse().unwrap()),
+    };
     Ok(Record {
         id: node(u)?,
         peer: node(u)?.0,
@@ -89,6 +95,7 @@
                 service: "certificates".parse().unwrap(),
                 slots: 6,
                 state: UpstreamState::Ready,
+                release: Some("v2.11".parse().unwrap()),
             }],
         });
     }
--- a/goldcresttallyd/src/control/connections.rs
+++ b/goldcresttallyd/src/control/connections.rs
@@ -15,8 +15,9 @@
 use goldcresttally_membership::Record;
 use goldcresttally_proxy::Transport;
 use goldcresttally_proxy::claims::ClaimWriteOutcome;
+use goldcresttally_rollout::{Report, Stage};
 use goldcresttally_wire::wire_capnp::{claim_result, control};
-use goldcresttally_wire::{reader_options, record, update};
+use goldcresttally_wire::{reader_options, record, rollout, update};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
@@ -190,6 +191,17 @@
         })
     }
 
+    /// Sends a rollout's stage and returns the node's report; without a stage, only asks for it.
+    pub async fn rollout(&self, to: NodeId, stage: Option<&Stage>) -> Result<Report> {
+        let client = self.client(to).await?;
+        let mut request = client.rollout_request();
+        if let Some(stage) = stage {
+            rollout::write_stage(stage, request.get().init_stage());
+        }
+        let response = self.await_response(to, request.send().promise).await?;
+        Ok(rollout::read_report(response.get()?.get_report()?)?)
+    }
+
     /// Waits for a response; closes the connection if there is none in time or it is disconnected.
     async fn await_response<T>(
         &self,
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -22,6 +22,7 @@
 use super::command::{Command, ControlStatus, Traffic};
 use super::connections::Connections;
 use super::distribution::PollTask;
+use super::rollout::Rollouts;
 use super::tasks::LocalTasks;
 use crate::events::{self, emit};
 use crate::settings::Settings;
@@ -88,6 +89,8 @@
     pub join_window: Cell<(u64, u32)>,
     /// The reason why a version was refused last.
     pub refusal: RefCell<Option<Arc<str>>>,
+    /// Rollouts of upstreams; `None` where they are not enabled.
+    pub rollouts: Option<Rollouts>,
 }
 
 impl Control {
@@ -120,6 +123,10 @@
             join_backoff: JoinBackoff::new(config.seed + 2, now),
             claim_batcher: ClaimBatcher::new(rate),
         };
+        let rollouts = config.rollouts.and_then(|store| Rollouts::new(store, &settings, now));
+        if let Some(rollouts) = &rollouts {
+            config.peer.set_rollout_gate(Arc::clone(&rollouts.gate));
+        }
         let traffic = Rc::new(Cell::new(Traffic::default()));
         Ok(Self {
             machines: RefCell::new(machines),
@@ -146,6 +153,7 @@
             failed_joins: Cell::new(0),
             join_window: Cell::new((0, 0)),
             refusal: RefCell::new(None),
+            rollouts,
             settings,
         })
     }
@@ -199,6 +207,7 @@
         self.drain_leaving();
         self.join_if_due();
         self.write_claims_if_due();
+        self.tick_rollouts();
         self.peer.tick();
         let now = self.now();
         if self.next_suppression_report.get().is_past(now) {
--- a/goldcresttallyd/src/control/membership.rs
+++ b/goldcresttallyd/src/control/membership.rs
@@ -111,6 +111,7 @@
     }
 
     pub(super) fn on_announce(self: &Rc<Self>, announcement: Announcement) -> AnnounceOutcome {
+        let announcement = self.note_release(announcement);
         let details = announcement.clone();
         let outcome = self.machines.borrow_mut().registry.announce(self.now(), announcement);
         if outcome == AnnounceOutcome::Changed {
--- a/goldcresttallyd/src/control/mod.rs
+++ b/goldcresttallyd/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod membership;
 mod metered;
 mod publish;
+mod rollout;
 mod run;
 mod server;
 mod tasks;
@@ -26,7 +27,7 @@
 use goldcresttally_membership::Record;
 use goldcresttally_proxy::link::LinkPool;
 use goldcresttally_proxy::{Peer, Transport};
-use goldcresttally_store::{DocumentSource, NodeDirectory, TableStore};
+use goldcresttally_store::{DocumentSource, NodeDirectory, RolloutStore, TableStore};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 
@@ -59,6 +60,8 @@
     pub table: Arc<dyn TableStore>,
     /// A directory of nodes to join, in addition to the seeds.
     pub directory: Option<Arc<dyn NodeDirectory>>,
+    /// The store of rollout orders; `None` where rollouts are not enabled.
+    pub rollouts: Option<Arc<dyn RolloutStore>>,
     /// Seed of the random number generators.
     pub seed: u64,
 }
--- a/goldcresttallyd/src/control/publish.rs
+++ b/goldcresttallyd/src/control/publish.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use goldcresttally_core::{Generation, Map, Set};
+use goldcresttally_core::{Generation, Map, ServiceName, Set};
 use goldcresttally_distribution as distribution;
 use goldcresttally_membership::{Event, Record, Status, UpstreamState};
 use goldcresttally_proxy::peer::LocalUpstream;
@@ -84,23 +84,28 @@
     /// Publishes this node's upstreams to the request path immediately, and to the members by
     /// gossip.
     pub(super) fn publish_upstreams(self: &Rc<Self>) {
+        let now = self.now();
+        let current = self.machines.borrow().registry.current(now);
+        let closed_service = self.update_gate(&current);
+        let is_closed = |service: &ServiceName| closed_service.as_ref() == Some(service);
         let (local, summary) = {
             let machines = self.machines.borrow();
-            let now = self.now();
-            let local: Vec<_> = machines
-                .registry
-                .current(now)
+            let local: Vec<_> = current
                 .into_iter()
                 .map(|a| LocalUpstream {
+                    draining: a.state == UpstreamState::Draining || is_closed(&a.service),
                     service: a.service,
                     address: a.address,
                     slots: a.slots,
-                    draining: a.state == UpstreamState::Draining,
                     generation: a.process.as_ref().map_or(Generation(0), |p| p.generation),
                     instance: a.process.map(|p| p.instance),
                 })
                 .collect();
-            (local, machines.registry.summary(now))
+            let mut summary = machines.registry.summary(now);
+            for upstream in summary.iter_mut().filter(|u| is_closed(&u.service)) {
+                upstream.state = UpstreamState::Draining;
+            }
+            (local, summary)
         };
         self.peer.set_upstreams(&local);
         self.on_membership(Event::UpstreamsChanged(summary));
--- a/goldcresttallyd/src/control/server.rs
+++ b/goldcresttallyd/src/control/server.rs
@@ -15,7 +15,7 @@
 use goldcresttally_membership as members;
 use goldcresttally_proxy::claims::ClaimWriteOutcome;
 use goldcresttally_wire::wire_capnp::control;
-use goldcresttally_wire::{reader_options, record, update};
+use goldcresttally_wire::{reader_options, record, rollout, update};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
@@ -242,6 +242,22 @@
         Ok(())
     }
 
+    async fn rollout(
+        self: Rc<Self>,
+        params: control::RolloutParams,
+        mut results: control::RolloutResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let stage = match params.has_stage() {
+            true => rollout::read_stage(params.get_stage()?).map_err(|e| invalid_message(&e))?,
+            false => None,
+        };
+        let report = self.control()?.on_rollout_stage(stage);
+        let report = report.ok_or_else(|| Error::failed("rollouts are not enabled".to_owned()))?;
+        rollout::write_report(&report, results.get().init_report());
+        Ok(())
+    }
+
     async fn ping(
         self: Rc<Self>,
         _params: control::PingParams,
--- a/goldcresttallyd/src/events.rs
+++ b/goldcresttallyd/src/events.rs
@@ -69,6 +69,12 @@
     CONTROL_CLOSED = 1601 Debug "control connection closed";
     CONTROL_SILENT = 1602 Warn "control connection silent: closed";
     METRICS_FAILED = 1701 Warn "metrics could not be sent";
+    ROLLOUT_ORDERED = 1901 Info "rollout ordered";
+    ROLLOUT_DECIDED = 1902 Info "rollout decided on";
+    ROLLOUT_GATE_CHANGED = 1903 Info "rollout opened or closed the upstream";
+    ROLLOUT_STORE_FAILED = 1904 Warn "rollout rows could not be read or written";
+    ROLLOUT_STAGE_FAILED = 1905 Debug "rollout stage not delivered";
+    ROLLOUT_ORDER_REFUSED = 1906 Warn "rollout order refused";
     CALL_FAILED = 2001 Info "call ended without an upstream's answer";
     CALL_UPSTREAM_FAILED = 2002 Info "call ended with an upstream's failure";
     CALL_RETRIED = 2003 Info "attempt failed or in doubt: another one is made";
--- a/goldcresttallyd/src/metrics_text.rs
+++ b/goldcresttallyd/src/metrics_text.rs
@@ -52,6 +52,9 @@
     }
     line("version_in_force", "", state.active_config().snapshot.version().0 as f64);
     line("ready", "", f64::from(u8::from(state.is_ready() && !state.is_leaving())));
+    if let Some(is_open) = peer.is_rollout_gate_open() {
+        line("rollout_gate_open", "", f64::from(u8::from(is_open)));
+    }
     line("calls_in_flight", "", state.calls_in_flight() as f64);
     line("ledger_entries", "", peer.ledger_size().0 as f64);
     let transfers = peer.transfer_load();
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -18,7 +18,8 @@
 };
 use goldcresttally_report::Recorder;
 use goldcresttally_store::{
-    Document, DocumentSource, HttpPlatform, NoStore, NodeDirectory, ObjectStore, TableStore,
+    Document, DocumentSource, HttpPlatform, NoStore, NodeDirectory, ObjectStore, RolloutStore,
+    TableStore,
 };
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
@@ -53,6 +54,8 @@
     pub format: Arc<dyn SectionFormat>,
     /// A directory of nodes to join, in addition to the seeds.
     pub directory: Option<Arc<dyn NodeDirectory>>,
+    /// The store of rollout orders, used if rollouts are enabled in the settings.
+    pub rollouts: Option<Arc<dyn RolloutStore>>,
 }
 
 impl Default for NodeOptions {
@@ -67,6 +70,7 @@
             source: None,
             format: Arc::new(YamlFormat),
             directory: None,
+            rollouts: None,
         }
     }
 }
@@ -137,6 +141,7 @@
             format: options.format,
             table: Arc::clone(&table),
             directory: options.directory,
+            rollouts: options.rollouts.filter(|_| settings.rollouts.enabled),
             seed: options.seed,
             settings: Arc::clone(&settings),
         };
--- a/goldcresttallyd/src/operator/upstreams.rs
+++ b/goldcresttallyd/src/operator/upstreams.rs
@@ -50,7 +50,15 @@
         .parse()
         .map_err(|e: goldcresttally_core::Error| Problem::bad_request(e.to_string()))?;
     let Announced { service, address, slots, .. } = body;
-    let announcement = Announcement { service, address, slots, state, process: None };
+    let announcement = Announcement {
+        service,
+        address,
+        slots,
+        state,
+        process: None,
+        release: None,
+        cold_left: std::time::Duration::ZERO,
+    };
     operator.send_command(|reply| Command::Announce(announcement, reply)).await?;
     Ok(Json(json!({ "lease_ms": LEASE_MS })))
 }
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -13,11 +13,11 @@
 use super::{ConventionSettings, Settings};
 
 /// The invalid key and a message.
-type CheckError = (String, String);
+pub type CheckError = (String, String);
 
 impl Settings {
-    /// Validates all values.
-    pub(super) fn check(&self) -> Result<(), CheckError> {
+    /// Validates all values; returns the key of an invalid one and a message.
+    pub fn check(&self) -> Result<(), CheckError> {
         self.check_addresses()?;
         let d = &self.distribution;
         in_range("distribution.poll_interval_ms", d.poll_interval_ms, 100, 60_000)?;
@@ -54,9 +54,27 @@
             }
         }
         self.check_headers()?;
+        self.check_rollouts()?;
         in_range("node.threads", self.node.threads as u64, 0, 64)
     }
 
+    fn check_rollouts(&self) -> Result<(), CheckError> {
+        let r = &self.rollouts;
+        if !(r.expose_share > 0.0 && r.expose_share <= 1.0) {
+            let message =
+                format!("`{}` is not in the range from 0 (excluded) to 1", r.expose_share);
+            return invalid("rollouts.expose_share", message);
+        }
+        in_range("rollouts.expose_calls", r.expose_calls, 0, 1_000_000)?;
+        // A stage must hold for longer than the interval at which it is repeated.
+        in_range("rollouts.rollback_ms", r.rollback_ms, 3000, 600_000)?;
+        if r.enabled && self.conventions.own_service.is_none() {
+            let message = "needs `conventions.own_service`, the service beside this node";
+            return invalid("rollouts.enabled", message.to_owned());
+        }
+        Ok(())
+    }
+
     fn check_headers(&self) -> Result<(), CheckError> {
         for (key, name) in self.conventions.header_names() {
             if name.is_some_and(|n| HeaderName::try_from(n).is_err()) {
--- a/goldcresttallyd/src/settings/mod.rs
+++ b/goldcresttallyd/src/settings/mod.rs
@@ -7,7 +7,7 @@
 
 pub use types::{
     ConventionSettings, DistributionSettings, LogLevel, LogSettings, MembershipSettings,
-    MetricsSettings, NodeSettings, RequestSettings, Settings, TeamSettings,
+    MetricsSettings, NodeSettings, RequestSettings, RolloutSettings, Settings, TeamSettings,
 };
 
 /// An error in the settings.
--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -33,6 +33,9 @@
     /// HTTP conventions shared with callers and upstreams.
     #[serde(default)]
     pub conventions: ConventionSettings,
+    /// Rollouts of new releases of a service.
+    #[serde(default)]
+    pub rollouts: RolloutSettings,
     /// StatsD metrics; not sent if absent.
     #[serde(default)]
     pub metrics: Option<MetricsSettings>,
@@ -183,6 +186,27 @@
     }
 }
 
+/// Rollouts of new releases of a service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RolloutSettings {
+    /// Whether the upstream beside this node takes part in rollouts.
+    pub enabled: bool,
+    /// Share of the service's calls that a faulty release may get.
+    pub expose_share: f64,
+    /// Calls that it may get besides.
+    pub expose_calls: u64,
+    /// Time within which a release must get no more calls after it has shown to be faulty, in
+    /// milliseconds.
+    pub rollback_ms: u64,
+}
+
+impl Default for RolloutSettings {
+    fn default() -> Self {
+        Self { enabled: false, expose_share: 0.1, expose_calls: 50, rollback_ms: 5000 }
+    }
+}
+
 /// HTTP conventions: names of headers, and requirements on an upstream's answer.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/tally-lab/src/experiments/scale.rs
+++ b/tally-lab/src/experiments/scale.rs
@@ -189,6 +189,7 @@
             service: service.parse().unwrap_or_else(|_| unreachable!("a valid name")),
             slots: 12,
             state: UpstreamState::Ready,
+            release: None,
         }],
     }
 }
