Send a release under test its share of the calls whatever its cost

Stages and membership records carry the share of the calls that the release is to get; the entry draws by it before it compares costs. A service with few calls uses a part of the calls that a bad release may get besides. The door's rate limit stays as the bound. Without a rollout the choice is as before and draws no random number more.

--- a/goldcresttally-membership/src/record.rs
+++ b/goldcresttally-membership/src/record.rs
@@ -70,6 +70,9 @@
     pub state: UpstreamState,
     /// The release of its software, if upstreams name one and rollouts are enabled.
     pub release: Option<ReleaseName>,
+    /// Thousandths of the service's calls that upstreams of a release under test are to get; 0 for
+    /// any other upstream.
+    pub trial_milli: u16,
 }
 
 /// The replicated state of one node.
--- a/goldcresttally-membership/src/registry.rs
+++ b/goldcresttally-membership/src/registry.rs
@@ -379,6 +379,7 @@
             slots: a.slots,
             state: a.state,
             release: a.release,
+            trial_milli: 0,
         };
         self.current(now).into_iter().map(upstream).collect()
     }
--- a/goldcresttally-proxy/src/entry/keyed.rs
+++ b/goldcresttally-proxy/src/entry/keyed.rs
@@ -267,6 +267,7 @@
 
 fn attempt_from_claim(claim: &Claim) -> Option<Attempt> {
     let endpoint = Endpoint {
+        trial_milli: 0,
         node: claim.holder,
         generation: claim.holder_generation,
         peer: claim.holder_peer.parse().ok()?,
--- a/goldcresttally-rollout/src/decider/lead.rs
+++ b/goldcresttally-rollout/src/decider/lead.rs
@@ -9,7 +9,9 @@
 use crate::evaluation::{ClassCounts, Fault};
 use crate::types::{Decision, Phase, Report, Stage, Status};
 
-/// Maximum time for which a stage holds, in milliseconds.
+/// Limits of the time for which a stage holds, in milliseconds. It must be longer than the interval
+/// at which stages are sent.
+const MIN_LEASE_MS: u64 = 800;
 const MAX_LEASE_MS: u64 = 1500;
 
 /// Share of the time for a rollback that a stage holds at most. The rest is for noticing the fault.
@@ -37,6 +39,16 @@
 /// Time after which a door's last report no longer counts as current, in milliseconds.
 const REPORT_AGE_MS: u64 = 2500;
 
+/// Thousandths of the calls that the release gets in phase `open`, in which there are as many
+/// upstreams of it as of the old one.
+const OPEN_SHARE_MILLI: u16 = 400;
+
+/// Share of the rate of phase `canary` that the entries send.
+const STEERED_SHARE: f64 = 0.85;
+
+/// Smallest change of the share in phase `canary` that is published, in thousandths.
+const MIN_SHARE_CHANGE: u16 = 30;
+
 /// Weight of the newest report in the smoothed rate of a door.
 const RATE_WEIGHT: f64 = 0.5;
 
@@ -69,6 +81,8 @@
     /// Whether `completed` may have been written.
     pub commit_is_open: bool,
     pub samples: VecDeque<Sample>,
+    /// Thousandths of the service's calls that the release is to get in phase `canary`.
+    canary_milli: u16,
     /// When the releases are compared next.
     pub judge_at: Deadline,
     /// How the rollout has ended, and until when the doors are told.
@@ -91,6 +105,7 @@
             sealed_at: None,
             commit_is_open: false,
             samples: VecDeque::new(),
+            canary_milli: 0,
             judge_at: Deadline(now),
             ended: None,
         }
@@ -267,8 +282,13 @@
         if lead.ended.is_none() && !lead.is_confirmed(now) {
             return;
         }
-        let shares = self.canary_rates(now);
-        let Role::Leader(lead) = &self.role else { return };
+        let (shares, canary_milli) = self.canary_rates(now);
+        let lease = self.lease();
+        let Role::Leader(lead) = &mut self.role else { return };
+        // A change is published by all doors that get calls, so small ones are left out.
+        if lead.canary_milli == 0 || lead.canary_milli.abs_diff(canary_milli) > MIN_SHARE_CHANGE {
+            lead.canary_milli = canary_milli;
+        }
         let interval = match (lead.phase, lead.ended) {
             (Phase::Shift, None) => SHIFT_STAGE_INTERVAL_MS,
             _ => STAGE_INTERVAL_MS,
@@ -276,10 +296,8 @@
         let (phase, valid) = match (lead.phase, lead.ended) {
             (_, Some((Status::Completed, _))) => (Phase::Completed, None),
             (_, Some(_)) | (Phase::RolledBack, None) => (Phase::RolledBack, None),
-            (Phase::Shift, None) if lead.sealed_at.is_some() => {
-                (Phase::Completed, Some(self.lease()))
-            }
-            (phase, None) => (phase, Some(self.lease())),
+            (Phase::Shift, None) if lead.sealed_at.is_some() => (Phase::Completed, Some(lease)),
+            (phase, None) => (phase, Some(lease)),
         };
         let stage = Stage {
             release: self.order.release.clone(),
@@ -287,6 +305,11 @@
             epoch: lead.epoch,
             phase,
             rate: None,
+            share_milli: match phase {
+                Phase::Canary => lead.canary_milli,
+                Phase::Open => OPEN_SHARE_MILLI,
+                _ => 0,
+            },
             valid,
         };
         for (id, door) in &mut self.doors {
@@ -310,11 +333,13 @@
 
     /// Returns the time for which a stage holds.
     pub(super) fn lease(&self) -> Duration {
-        self.options.rollback.mul_f64(LEASE_SHARE).min(Duration::from_millis(MAX_LEASE_MS))
+        let limits = (Duration::from_millis(MIN_LEASE_MS), Duration::from_millis(MAX_LEASE_MS));
+        self.options.rollback.mul_f64(LEASE_SHARE).clamp(limits.0, limits.1)
     }
 
-    /// Returns the doors that get calls in phase `canary`, with their rates.
-    fn canary_rates(&self, now: MonoTime) -> Vec<(NodeId, Rate)> {
+    /// Returns the doors that get calls in phase `canary`, with their rates, and the thousandths of
+    /// all calls that they get.
+    fn canary_rates(&self, now: MonoTime) -> (Vec<(NodeId, Rate)>, u16) {
         let is_current = |door: &super::DoorState| {
             door.last
                 .as_ref()
@@ -333,12 +358,14 @@
         });
         let old = self.doors.values().filter(|door| !self.is_new(door)).count();
         chosen.truncate(((self.canary_share() * old as f64).round() as usize).max(1));
-        let rate = total * self.canary_share();
+        let rate = self.canary_rate(total);
         if chosen.is_empty() || rate <= 0.0 || !self.has_exposure_left(rate) {
-            return Vec::new();
+            return (Vec::new(), 0);
         }
+        // Entries send less than the doors let through, so that few calls are refused.
+        let milli = 1000.0 * STEERED_SHARE * rate / total;
         let each = Rate(rate / chosen.len() as f64);
-        chosen.into_iter().map(|id| (id, each)).collect()
+        (chosen.into_iter().map(|id| (id, each)).collect(), milli.ceil() as u16)
     }
 
     pub(super) fn on_report(
--- a/goldcresttally-rollout/src/decider/progress.rs
+++ b/goldcresttally-rollout/src/decider/progress.rs
@@ -12,6 +12,11 @@
 /// Share of the permitted exposure that phase `canary` uses; the rest is for the phases after it.
 const CANARY_EXPOSURE: f64 = 0.7;
 
+/// Share of the calls that a faulty release may get besides which phase `canary` uses, and the
+/// maximum share of a service's calls that this may be.
+const CANARY_SPARE: f64 = 0.4;
+const MAX_CANARY_SHARE: f64 = 0.3;
+
 /// Share of the time limit before which all upstreams of the release are not opened.
 const OPEN_AFTER: f64 = 0.4;
 
@@ -185,6 +190,16 @@
         self.options.expose_share * CANARY_EXPOSURE
     }
 
+    /// Returns the rate of calls to the release in phase `canary`, of a service with the given rate.
+    /// A part of the calls that it may get besides its share is added, without which a service with
+    /// few calls would learn nothing about it.
+    pub(super) fn canary_rate(&self, service_rate: f64) -> f64 {
+        let spare = CANARY_SPARE * self.options.expose_calls as f64;
+        let seconds = self.order.duration.mul_f64(OPEN_AFTER).as_secs_f64();
+        let added = (spare / seconds).min(MAX_CANARY_SHARE * service_rate);
+        self.canary_share() * service_rate + added
+    }
+
     /// Returns whether the release may get calls at `rate` for the time of a lease without getting
     /// more than it may.
     pub(super) fn has_exposure_left(&self, rate: f64) -> bool {
--- a/goldcresttally-rollout/src/door.rs
+++ b/goldcresttally-rollout/src/door.rs
@@ -193,6 +193,7 @@
                     epoch: 0,
                     phase,
                     rate: None,
+                    share_milli: 0,
                     valid: None,
                 };
                 self.knowledge = Knowledge::Held { stage, until: None };
@@ -255,6 +256,21 @@
         }
     }
 
+    /// Returns the thousandths of the service's calls that the entries are to send to the upstreams
+    /// of the release under test, if the one beside this node is one that gets calls; 0 otherwise.
+    pub fn trial_milli(&self, now: MonoTime) -> u16 {
+        match self.held() {
+            Some(stage)
+                if matches!(stage.phase, Phase::Canary | Phase::Open)
+                    && self.is_under_test(stage)
+                    && self.gate(now) != Gate::Closed =>
+            {
+                stage.share_milli
+            }
+            _ => 0,
+        }
+    }
+
     /// Returns whether the node is to read the rows of the order, because it has just started or no
     /// decider has been heard for some time.
     pub fn needs_resolution(&self, now: MonoTime) -> bool {
--- a/goldcresttally-rollout/src/types.rs
+++ b/goldcresttally-rollout/src/types.rs
@@ -70,6 +70,8 @@
     /// Calls per second that this node may let through to an upstream of the release; `None` for no
     /// limit.
     pub rate: Option<Rate>,
+    /// Thousandths of the service's calls that the release is to get in phases `canary` and `open`.
+    pub share_milli: u16,
     /// Time for which the stage holds after it was received; `None` for a stage that does not
     /// expire.
     pub valid: Option<Duration>,
--- a/goldcresttally-rollout/tests/bad_release.rs
+++ b/goldcresttally-rollout/tests/bad_release.rs
@@ -70,3 +70,32 @@
     assert_eq!(world.status(), Some(Status::RolledBack));
     assert_eq!(world.store.statuses.len(), 2);
 }
+
+#[test]
+fn short_time_limit_leaves_the_exposure_within_the_rule() {
+    let behaviours = [
+        Behaviour { failures: [0.3, 0.3], ..GOOD },
+        Behaviour { failures: [0.3, 0.3], after_ms: 4000, ..GOOD },
+        Behaviour { slowdown: 4.0, ..GOOD },
+    ];
+    for bad in behaviours {
+        for seed in 0..6 {
+            let mut world = World::start(8, seed, bad);
+            world.rate = 150.0;
+            world.order("v2", 15);
+            world.run_until_ended();
+            world.check_bad();
+        }
+    }
+}
+
+#[test]
+fn bad_release_of_a_service_with_few_calls_is_rolled_back() {
+    for seed in 0..12 {
+        let bad = Behaviour { failures: [0.5, 0.5], ..GOOD };
+        let mut world = World::start(2, seed, bad);
+        world.rate = 10.0;
+        world.run_until_ended();
+        world.check_bad();
+    }
+}
--- a/goldcresttally-rollout/tests/changing_doors.rs
+++ b/goldcresttally-rollout/tests/changing_doors.rs
@@ -95,6 +95,7 @@
         epoch,
         phase,
         rate: rate.map(Rate),
+        share_milli: 0,
         valid: valid_ms.map(Duration::from_millis),
     }
 }
--- a/goldcresttally-rollout/tests/common/mod.rs
+++ b/goldcresttally-rollout/tests/common/mod.rs
@@ -575,6 +575,13 @@
         let open: Vec<_> = (0..self.nodes.len())
             .filter(|n| looks_open(&self.nodes[*n]) && !tried.contains(n))
             .collect();
+        // Entries send a share of the calls to a release under test, and all of the others to the
+        // other release, which is cheaper for them.
+        let share = |n: &usize| self.nodes[*n].door.trial_milli(now);
+        let trial = open.iter().map(share).max().unwrap_or(0);
+        let drawn = self.rng.u16(0..1000) < trial;
+        let group: Vec<_> = open.iter().copied().filter(|n| (share(n) > 0) == drawn).collect();
+        let open = if group.is_empty() { open } else { group };
         if open.is_empty() {
             return false;
         }
--- a/goldcresttally-routing/examples/choose.rs
+++ b/goldcresttally-routing/examples/choose.rs
@@ -12,6 +12,7 @@
 fn endpoint(address: &str, locality: Locality) -> Endpoint {
     let peer = address.parse().expect("an address");
     Endpoint {
+        trial_milli: 0,
         node: NodeId(peer),
         generation: Generation(1),
         peer,
--- a/goldcresttally-routing/src/endpoint.rs
+++ b/goldcresttally-routing/src/endpoint.rs
@@ -196,6 +196,9 @@
     pub ready: bool,
     /// When this node first saw it ready; slow start counts from here.
     pub ready_since: MonoTime,
+    /// Thousandths of the service's calls that upstreams of a release under test are to get; 0 for
+    /// any other upstream.
+    pub trial_milli: u16,
     /// This node's statistics about it; kept when the list of endpoints is rebuilt.
     pub stats: Arc<EndpointStats>,
 }
--- a/goldcresttally-routing/src/picker.rs
+++ b/goldcresttally-routing/src/picker.rs
@@ -92,6 +92,8 @@
         let untried = |e: &&Endpoint| !tried.contains(&e.node);
         let healthy = |e: &&Endpoint| untried(e) && e.ready && !e.stats.is_ejected(request.now);
         let mean_ms = mean_service_time_ms(request, endpoints);
+        let trial = draw_trial(endpoints, &mut random);
+        let in_group = |e: &&Endpoint| trial.is_none_or(|trial| (e.trial_milli > 0) == trial);
         let mut cheapest = |list: &mut dyn Iterator<Item = &'a Endpoint>| {
             let mut best: Option<(&Endpoint, f64)> = None;
             for endpoint in list {
@@ -103,7 +105,8 @@
             }
             best.map(|(endpoint, _)| endpoint)
         };
-        cheapest(&mut endpoints.iter().filter(healthy))
+        cheapest(&mut endpoints.iter().filter(healthy).filter(in_group))
+            .or_else(|| trial.and_then(|_| cheapest(&mut endpoints.iter().filter(healthy))))
             .or_else(|| cheapest(&mut endpoints.iter().filter(untried)))
     }
 
@@ -137,6 +140,13 @@
     }
 }
 
+/// Draws whether a call goes to the upstreams of a release under test, so that they get their share
+/// of the calls whatever their cost; `None` if there are none.
+fn draw_trial(endpoints: &[Endpoint], random: &mut impl FnMut(usize) -> usize) -> Option<bool> {
+    let share = endpoints.iter().filter(|e| e.ready).map(|e| e.trial_milli).max()?;
+    (share > 0).then(|| random(1000) < usize::from(share))
+}
+
 /// Returns the time after which a large body has arrived at the endpoint, where other bodies are
 /// on their way for `wait`.
 fn transfer_time(request: &PickRequest, endpoint: &Endpoint, wait: Duration) -> Duration {
--- a/goldcresttally-routing/tests/endpoint_choice.rs
+++ b/goldcresttally-routing/tests/endpoint_choice.rs
@@ -14,6 +14,7 @@
 fn endpoint(n: u16, locality: Locality) -> Endpoint {
     let address = format!("127.0.0.1:{n}").parse().unwrap();
     Endpoint {
+        trial_milli: 0,
         node: NodeId(address),
         generation: Generation(1),
         peer: address,
@@ -225,3 +226,24 @@
     list[1].link = BitRate(200_000_000);
     assert_eq!(pick_for(&upload(), &list, &[]), Some(2));
 }
+
+#[test]
+fn release_under_test_gets_its_share_of_the_calls_whatever_its_cost() {
+    let mut list = [endpoint(1, Locality::Vm), endpoint(2, Locality::Region)];
+    let mut random = lcg(3);
+    let mut calls_to_second = |list: &[Endpoint], tried: &[NodeId]| {
+        let picker = Picker::default();
+        let picks = (0..10_000).map(|_| picker.pick(&request_at(NOW), list, tried, &mut random));
+        picks.filter(|picked| picked.is_some_and(|e| e.peer.port() == 2)).count()
+    };
+    assert_eq!(calls_to_second(&list, &[]), 0);
+    list[1].trial_milli = 60;
+    let calls = calls_to_second(&list, &[]);
+    assert!((500..=700).contains(&calls), "{calls} of 10,000");
+    // Also if it is the cheaper one.
+    list[0].stats.record_load(NOW, 0, TARGET, full(6));
+    let calls = calls_to_second(&list, &[]);
+    assert!((500..=700).contains(&calls), "{calls} of 10,000");
+    let first = [list[0].node];
+    assert_eq!(calls_to_second(&list, &first), 10_000);
+}
--- a/goldcresttally-wire/schema/wire.capnp
+++ b/goldcresttally-wire/schema/wire.capnp
@@ -23,6 +23,9 @@
   state @2 :UpstreamState;
   release @3 :Text;
   # Empty when the upstream names none, or where rollouts are not enabled.
+  trialMilli @4 :UInt16;
+  # Thousandths of the service's calls that upstreams of a release under test are to get; 0 for
+  # any other upstream.
 }
 
 struct Record {
@@ -150,6 +153,8 @@
   # Thousandths of a call per second that this node may let through; the maximum for no limit.
   validMs @6 :UInt32;
   # Time for which the stage holds after it was received; the maximum for one that does not expire.
+  shareMilli @7 :UInt16;
+  # Thousandths of the service's calls that the release under test is to get.
 }
 
 struct RolloutClass {
--- a/goldcresttally-wire/src/record.rs
+++ b/goldcresttally-wire/src/record.rs
@@ -27,6 +27,7 @@
         to.set_service(upstream.service.as_str());
         to.set_slots(upstream.slots);
         to.set_state(write_state(upstream.state));
+        to.set_trial_milli(upstream.trial_milli);
         if let Some(release) = &upstream.release {
             to.set_release(release.as_str());
         }
@@ -42,6 +43,7 @@
             service: upstream.get_service()?.to_str()?.parse()?,
             slots: upstream.get_slots(),
             state: read_state(upstream.get_state()?),
+            trial_milli: upstream.get_trial_milli(),
             release: if release.is_empty() { None } else { Some(release.parse()?) },
         });
     }
--- a/goldcresttally-wire/src/rollout.rs
+++ b/goldcresttally-wire/src/rollout.rs
@@ -27,6 +27,7 @@
         Phase::RolledBack => RolloutPhase::RolledBack,
     });
     to.set_rate_milli(stage.rate.map_or(u64::MAX, |rate| (rate.0 * MILLI) as u64));
+    to.set_share_milli(stage.share_milli);
     to.set_valid_ms(stage.valid.map_or(u32::MAX, |valid| valid.as_millis() as u32));
 }
 
@@ -46,6 +47,7 @@
             RolloutPhase::RolledBack => Phase::RolledBack,
         },
         rate: (rate != u64::MAX).then_some(Rate(rate as f64 / MILLI)),
+        share_milli: from.get_share_milli(),
         valid: (valid != u32::MAX).then_some(Duration::from_millis(valid.into())),
     }))
 }
--- a/goldcresttally-wire/tests/decoders.rs
+++ b/goldcresttally-wire/tests/decoders.rs
@@ -25,6 +25,7 @@
         slots: u.arbitrary()?,
         state,
         release: release.map(|name| name.parse().unwrap()),
+        trial_milli: u.arbitrary()?,
     };
     Ok(Record {
         id: node(u)?,
@@ -96,6 +97,7 @@
                 slots: 6,
                 state: UpstreamState::Ready,
                 release: Some("v2.11".parse().unwrap()),
+                trial_milli: 60,
             }],
         });
     }
@@ -192,3 +194,44 @@
         Ok(())
     });
 }
+
+#[test]
+fn rollout_stages_and_reports_keep_their_values() {
+    use std::time::Duration;
+
+    use goldcresttally_core::Rate;
+    use goldcresttally_rollout::{ClassCount, Phase, Report, Stage};
+    use goldcresttally_wire::rollout;
+    use goldcresttally_wire::wire_capnp::{rollout_report, rollout_stage};
+
+    let phases = [Phase::Canary, Phase::Open, Phase::Shift, Phase::Completed, Phase::RolledBack];
+    for phase in phases {
+        for (rate, valid) in [(None, None), (Some(Rate(0.0)), Some(Duration::from_millis(1500)))] {
+            let release = "v2.11".parse().unwrap();
+            let stage = Stage { release, order: 7, epoch: 3, phase, rate, share_milli: 60, valid };
+            let mut builder = capnp::message::Builder::new_default();
+            rollout::write_stage(&stage, builder.init_root());
+            let reader = builder.get_root_as_reader::<rollout_stage::Reader<'_>>().unwrap();
+            assert_eq!(rollout::read_stage(reader).unwrap(), Some(stage.clone()));
+            for (release, held) in [(None, None), (Some(stage.release.clone()), Some(stage))] {
+                let count = ClassCount { answered: 5, failed: 1, total_ms: 812 };
+                let report = Report {
+                    release,
+                    epoch: 3,
+                    received: 99,
+                    in_flight: 2,
+                    classes: vec![(1, count), (u32::MAX, ClassCount::default())],
+                    held,
+                    is_informed: true,
+                };
+                let mut builder = capnp::message::Builder::new_default();
+                rollout::write_report(&report, builder.init_root());
+                let reader = builder.get_root_as_reader::<rollout_report::Reader<'_>>().unwrap();
+                assert_eq!(rollout::read_report(reader).unwrap(), report);
+            }
+        }
+    }
+    let mut builder = capnp::message::Builder::new_default();
+    let empty = builder.init_root::<rollout_stage::Builder<'_>>();
+    assert_eq!(rollout::read_stage(empty.into_reader()).unwrap(), None);
+}
--- a/goldcresttallyd/src/control/publish.rs
+++ b/goldcresttallyd/src/control/publish.rs
@@ -56,6 +56,7 @@
                 if let Some(duplicate) = list.iter_mut().find(|e| e.node == record.id) {
                     duplicate.slots += upstream.slots;
                     duplicate.ready |= ready;
+                    duplicate.trial_milli = duplicate.trial_milli.max(upstream.trial_milli);
                     continue;
                 }
                 let known = current.get(&upstream.service).and_then(|list| {
@@ -70,6 +71,7 @@
                     locality: locality(own, record),
                     link: record.link,
                     slots: upstream.slots,
+                    trial_milli: upstream.trial_milli,
                     ready,
                     ready_since: known
                         .filter(|e| e.ready)
@@ -86,8 +88,10 @@
     pub(super) fn publish_upstreams(self: &Rc<Self>) {
         let now = self.now();
         let current = self.machines.borrow().registry.current(now);
-        let closed_service = self.update_gate(&current);
-        let is_closed = |service: &ServiceName| closed_service.as_ref() == Some(service);
+        let published = self.update_gate(&current);
+        let is_closed = |service: &ServiceName| {
+            published.as_ref().is_some_and(|p| !p.is_open && p.service == *service)
+        };
         let (local, summary) = {
             let machines = self.machines.borrow();
             let local: Vec<_> = current
@@ -105,6 +109,10 @@
             for upstream in summary.iter_mut().filter(|u| is_closed(&u.service)) {
                 upstream.state = UpstreamState::Draining;
             }
+            if let Some(published) = &published {
+                let own = summary.iter_mut().filter(|u| u.service == published.service);
+                own.for_each(|upstream| upstream.trial_milli = published.trial_milli);
+            }
             (local, summary)
         };
         self.peer.set_upstreams(&local);
--- a/goldcresttallyd/src/control/rollout.rs
+++ b/goldcresttallyd/src/control/rollout.rs
@@ -56,12 +56,20 @@
     counted_order: Cell<Option<u64>>,
     /// The gate that was applied last.
     applied: Cell<Gate>,
-    /// Whether the upstream was published as open.
-    is_published_open: Cell<bool>,
+    /// Whether the upstream was published as open, and with which share of the calls.
+    published: Cell<(bool, u16)>,
     era: Cell<u64>,
     started: MonoTime,
 }
 
+/// How a rollout lets the upstream beside this node be published.
+pub(super) struct Published {
+    pub service: ServiceName,
+    pub is_open: bool,
+    /// Thousandths of the service's calls that its release is to get; 0 outside of a test.
+    pub trial_milli: u16,
+}
+
 impl Rollouts {
     /// Returns the state of a node that has just started; `None` if its service is not known.
     pub fn new(store: Arc<dyn RolloutStore>, settings: &Settings, now: MonoTime) -> Option<Self> {
@@ -87,7 +95,7 @@
             warm_at: Cell::new(now),
             counted_order: Cell::new(None),
             applied: Cell::new(Gate::Closed),
-            is_published_open: Cell::new(false),
+            published: Cell::new((false, 0)),
             started: now,
         })
     }
@@ -335,7 +343,9 @@
         if rollouts.applied.replace(gate) != gate {
             self.set_gate(rollouts, gate);
         }
-        if rollouts.is_published_open.get() != is_open {
+        let trial_milli = rollouts.door.borrow().trial_milli(now);
+        let (was_open, published_milli) = rollouts.published.get();
+        if was_open != is_open {
             let held = rollouts.door.borrow().held().map(|held| (held.phase, held.epoch));
             let held = held.map_or_else(|| "-".to_owned(), |(p, epoch)| format!("{p}/{epoch}"));
             let state = if is_open { "open" } else { "closed" };
@@ -344,6 +354,8 @@
                 events::ROLLOUT_GATE_CHANGED,
                 format_args!("service={service} gate={state} held={held}"),
             );
+        }
+        if was_open != is_open || published_milli != trial_milli {
             self.publish_upstreams();
         }
     }
@@ -373,16 +385,16 @@
         }
     }
 
-    /// Takes note of the release of the upstream beside this node; returns its service if a rollout
-    /// has closed it.
-    pub(super) fn update_gate(&self, current: &[Announcement]) -> Option<ServiceName> {
+    /// Takes note of the release of the upstream beside this node; returns how it is to be published.
+    pub(super) fn update_gate(&self, current: &[Announcement]) -> Option<Published> {
         let rollouts = self.rollouts.as_ref()?;
         let own = current.iter().find(|a| a.service == rollouts.service);
         let mut door = rollouts.door.borrow_mut();
         door.set_release(own.and_then(|a| a.release.clone()));
-        let is_closed = door.gate(self.now()) == Gate::Closed;
-        rollouts.is_published_open.set(!is_closed);
-        is_closed.then(|| rollouts.service.clone())
+        let now = self.now();
+        let (is_open, trial_milli) = (door.gate(now) != Gate::Closed, door.trial_milli(now));
+        rollouts.published.set((is_open, trial_milli));
+        Some(Published { service: rollouts.service.clone(), is_open, trial_milli })
     }
 
     fn resolve_if_due(self: &Rc<Self>, rollouts: &Rollouts, now: MonoTime) {
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -66,8 +66,7 @@
             return invalid("rollouts.expose_share", message);
         }
         in_range("rollouts.expose_calls", r.expose_calls, 0, 1_000_000)?;
-        // A stage must hold for longer than the interval at which it is repeated.
-        in_range("rollouts.rollback_ms", r.rollback_ms, 3000, 600_000)?;
+        in_range("rollouts.rollback_ms", r.rollback_ms, 1000, 600_000)?;
         if r.enabled && self.conventions.own_service.is_none() {
             let message = "needs `conventions.own_service`, the service beside this node";
             return invalid("rollouts.enabled", message.to_owned());
--- a/tally-lab/src/experiments/scale.rs
+++ b/tally-lab/src/experiments/scale.rs
@@ -190,6 +190,7 @@
             slots: 12,
             state: UpstreamState::Ready,
             release: None,
+            trial_milli: 0,
         }],
     }
 }
