Keep a completed rollout when the store loses it at once

A store restored from a copy right after `completed` was written made the leader, which was telling the doors the end, forget to write it again; a later candidate would have opened the old upstreams.

The leader reads the rows again also while it tells the end, and after a write that a restore has overtaken; a door that was told the end says so to every later leader. The new test completion_that_the_store_loses_at_once_is_not_undone failed before and passes.

--- a/goldcresttally-rollout/src/decider/lead.rs
+++ b/goldcresttally-rollout/src/decider/lead.rs
@@ -116,6 +116,11 @@
         self.ended = Some((status, until));
     }
 
+    /// Returns whether the rollout has ended, so that the lead only tells the doors.
+    pub fn has_ended(&self) -> bool {
+        self.ended.is_some()
+    }
+
     /// Returns whether the lead was confirmed recently enough to act on it.
     fn is_confirmed(&self, now: MonoTime) -> bool {
         now.since(self.confirmed_at) < Duration::from_millis(CONFIRMED_MS)
@@ -400,7 +405,17 @@
                 && held.release == self.order.release
                 && held.order == self.order.revision
         });
+        // Only told after it was written, which a restored store may have lost.
+        let was_completed = report.held.as_ref().is_some_and(|held| {
+            held.phase == Phase::Completed
+                && held.valid.is_none()
+                && held.epoch > 0
+                && held.release == self.order.release
+        });
         door.last = Some((now, report));
+        if was_completed {
+            self.outcome = Some(Status::Completed);
+        }
         let Role::Leader(lead) = &mut self.role else { return };
         if max > lead.epoch {
             lead.must_read = true;
--- a/goldcresttally-rollout/src/decider/mod.rs
+++ b/goldcresttally-rollout/src/decider/mod.rs
@@ -275,6 +275,9 @@
         let step = Duration::from_millis(TAKEOVER_STEP_MS) * self.steps();
         match &mut self.role {
             Role::Standby { check_at } => *check_at = Deadline::after(now, step),
+            Role::Leader(lead) if lead.has_ended() => {
+                self.role = Role::Standby { check_at: Deadline(now) };
+            }
             Role::Leader(lead) => lead.must_read = true,
             Role::Ended => self.role = Role::Standby { check_at: Deadline::after(now, step) },
         }
@@ -470,6 +473,11 @@
                 match (status, &mut self.role) {
                     (Status::Running, Role::Leader(lead)) => lead.confirmed_at = sent_at,
                     (Status::Running, _) => {}
+                    // The store was restored from a copy since it was written.
+                    (_, Role::Leader(lead)) if lead.must_read => {
+                        self.outcome = Some(status);
+                        self.role = Role::Standby { check_at: Deadline(now) };
+                    }
                     _ => self.end(now, status, actions),
                 }
             }
--- a/goldcresttally-rollout/tests/store_troubles.rs
+++ b/goldcresttally-rollout/tests/store_troubles.rs
@@ -110,3 +110,19 @@
         }
     }
 }
+
+#[test]
+fn completion_that_the_store_loses_at_once_is_not_undone() {
+    for seed in 0..6 {
+        for delay in [0, 50, 200, 1000] {
+            let mut world = World::start(6, seed, GOOD);
+            world.run_until_phase(Phase::Shift);
+            let copy = world.copy();
+            world.run_until(10, "end", |world| world.status() == Some(Status::Completed));
+            world.run(delay);
+            world.restore(copy);
+            assert_eq!(world.run_until_ended(), Status::Completed, "{:#?}", world.decisions);
+            world.check_completed();
+        }
+    }
+}
