--- a/goldcresttally-admission/tests/rush_fleet/mod.rs
+++ b/goldcresttally-admission/tests/rush_fleet/mod.rs
@@ -281,6 +281,7 @@
             slots: SLOTS,
             ready: true,
             ready_since: MonoTime(0),
+            trial_milli: 0,
             stats: Arc::new(EndpointStats::default()),
         };
         let of_service = |service| {
--- a/goldcresttally-proxy/src/counters.rs
+++ b/goldcresttally-proxy/src/counters.rs
@@ -70,6 +70,8 @@
     cancelled,
     /// Bodies refused because they could not arrive over the link in time.
     link_full,
+    /// Attempts refused because a rollout does not let calls through to the upstream.
+    rollout_refused,
     /// Endpoints ejected after failures.
     ejections,
     /// Calls refused at the entry because no endpoint could start them in time, by the reports.
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -8,6 +8,7 @@
 mod processor;
 mod read_budget;
 mod reserve;
+mod rollout;
 mod run;
 mod settle;
 mod spawn_on_drop;
@@ -18,7 +19,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use goldcresttally_admission::{Load, Policy, TransferLoad};
 use goldcresttally_core::{AttemptId, BitRate, Generation, InstanceId, Map, ServiceName};
 use http::{Request, Response};
@@ -34,6 +35,7 @@
 use attempts::AttemptLedger;
 pub use health::Health;
 pub use limiter::Limiter;
+pub use rollout::{AnswerCount, RolloutGate};
 use spawn_on_drop::SpawnOnDrop;
 use transfers::{ArrivingBody, TransferQueue};
 
@@ -69,6 +71,7 @@
     policy: Policy,
     redirects: bool,
     rush_control: bool,
+    rollout_gate: ArcSwapOption<RolloutGate>,
 }
 
 impl Peer {
@@ -92,6 +95,7 @@
             policy,
             redirects,
             rush_control: false,
+            rollout_gate: ArcSwapOption::empty(),
         }
     }
 
@@ -136,6 +140,7 @@
             let limiter =
                 prev.map_or_else(|| Arc::new(Limiter::new(upstream, self.state.clock)), Arc::clone);
             limiter.configure(&self.state, upstream, self.policy, self.rush_control);
+            limiter.set_gate_rate(&self.state, self.rollout_rate(&upstream.service));
             limiters.entry(upstream.service.clone()).or_default().push(limiter);
         }
         let kept =
@@ -262,6 +267,7 @@
             call_id: self.state.conventions.id_of(&parts.headers).to_owned(),
             started: self.state.clock.now(),
             cancelled,
+            sent_call: None,
             response_tx: Some(tx),
         };
         let run = SpawnOnDrop::new(run.run(parts, body), self.tasks.clone());
--- a/goldcresttally-proxy/tests/account_claims.rs
+++ b/goldcresttally-proxy/tests/account_claims.rs
@@ -74,6 +74,7 @@
         peer: state.identity.peer,
         locality: Locality::Vm,
         link: BitRate::default(),
+        trial_milli: 0,
         slots: 4,
         ready: true,
         ready_since: MonoTime(0),
--- a/goldcresttally-routing/tests/room_reports.rs
+++ b/goldcresttally-routing/tests/room_reports.rs
@@ -26,6 +26,7 @@
         slots: 6,
         ready: true,
         ready_since: MonoTime(0),
+        trial_milli: 0,
         stats: Arc::new(EndpointStats::default()),
     }
 }
--- a/goldcresttally-wire/schema/wire.capnp
+++ b/goldcresttally-wire/schema/wire.capnp
@@ -21,6 +21,11 @@
   service @0 :Text;
   slots @1 :UInt32;
   state @2 :UpstreamState;
+  release @3 :Text;
+  # Empty when the upstream names none, or where rollouts are not enabled.
+  trialMilli @4 :UInt16;
+  # Thousandths of the service's calls that upstreams of a release under test are to get; 0 for
+  # any other upstream.
 }
 
 struct Record {
@@ -158,7 +163,9 @@
   rateMilli @5 :UInt64;
   # Thousandths of a call per second that this node may let through; the maximum for no limit.
   validMs @6 :UInt32;
-  # Time for which the stage holds after it was received.
+  # Time for which the stage holds after it was received; the maximum for one that does not expire.
+  shareMilli @7 :UInt16;
+  # Thousandths of the service's calls that the release under test is to get.
 }
 
 struct RolloutClass {
@@ -178,6 +185,10 @@
   received @2 :UInt64;
   inFlight @3 :UInt32;
   classes @4 :List(RolloutClass);
+  held @5 :RolloutStage;
+  # The stage that the node holds; null without one. Its time is what was given, not what is left.
+  informed @6 :Bool;
+  # Whether the node knows whether there is an order.
 }
 
 interface Control {
@@ -203,4 +214,5 @@
   # needed.
 
   rollout @8 (stage :RolloutStage) -> (report :RolloutReport);
+  # A stage without a release only asks for the report.
 }
--- a/goldcresttally-wire/src/lib.rs
+++ b/goldcresttally-wire/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`wire_capnp`]: the code generated from `schema/wire.capnp`.
 //! * [`record`]: conversion of membership records.
+//! * [`rollout`]: conversion of stages and reports of rollouts.
 //! * [`datagram`]: encoding and decoding of membership datagrams.
 //! * [`tokens`]: conversion of the messages that move tokens of accounts.
 //! * [`update`]: conversion of version updates.
@@ -12,6 +13,7 @@
 pub mod errors;
 mod generated;
 pub mod record;
+pub mod rollout;
 pub mod tokens;
 pub mod update;
 
--- a/goldcresttallyd/src/control/driver.rs
+++ b/goldcresttallyd/src/control/driver.rs
@@ -23,6 +23,7 @@
 use super::command::{Command, ControlStatus, Traffic};
 use super::connections::Connections;
 use super::distribution::PollTask;
+use super::rollout::Rollouts;
 use super::tasks::LocalTasks;
 use crate::events::{self, emit};
 use crate::settings::Settings;
@@ -94,6 +95,8 @@
     pub exchange_due_changed: Notify,
     /// The reason why a version was refused last.
     pub refusal: RefCell<Option<Arc<str>>>,
+    /// Rollouts of upstreams; `None` where they are not enabled.
+    pub rollouts: Option<Rollouts>,
 }
 
 impl Control {
@@ -130,6 +133,10 @@
             join_backoff: JoinBackoff::new(config.seed + 2, now),
             claim_batcher: ClaimBatcher::new(rate),
         };
+        let rollouts = config.rollouts.and_then(|store| Rollouts::new(store, &settings, now));
+        if let Some(rollouts) = &rollouts {
+            config.peer.set_rollout_gate(Arc::clone(&rollouts.gate));
+        }
         let traffic = Rc::new(Cell::new(Traffic::default()));
         Ok(Self {
             machines: RefCell::new(machines),
@@ -159,6 +166,7 @@
             exchange_due: Cell::new(None),
             exchange_due_changed: Notify::new(),
             refusal: RefCell::new(None),
+            rollouts,
             settings,
         })
     }
@@ -214,6 +222,7 @@
         self.join_if_due();
         self.write_claims_if_due();
         self.on_exchange(goldcresttally_quota::Event::Tick);
+        self.tick_rollouts();
         self.peer.tick();
         let now = self.now();
         if self.next_suppression_report.get().is_past(now) {
--- a/goldcresttallyd/src/settings/check.rs
+++ b/goldcresttallyd/src/settings/check.rs
@@ -39,11 +39,11 @@
 const MIN_MEMORY_BYTES: u64 = 16 << 20;
 
 /// The invalid key and a message.
-type CheckError = (String, String);
+pub type CheckError = (String, String);
 
 impl Settings {
-    /// Validates all values.
-    pub(super) fn check(&self) -> Result<(), CheckError> {
+    /// Validates all values; returns the key of an invalid one and a message.
+    pub fn check(&self) -> Result<(), CheckError> {
         self.check_addresses()?;
         let d = &self.distribution;
         in_range("distribution.poll_interval_ms", d.poll_interval_ms, 100, 60_000)?;
@@ -93,9 +93,26 @@
         in_range("clients.max_streams", c.max_streams.into(), 1, 100_000)?;
         in_range("clients.stall_ms", c.stall_ms, 1000, 3_600_000)?;
         self.check_headers()?;
+        self.check_rollouts()?;
         in_range("node.threads", self.node.threads as u64, 0, 64)
     }
 
+    fn check_rollouts(&self) -> Result<(), CheckError> {
+        let r = &self.rollouts;
+        if !(r.expose_share > 0.0 && r.expose_share <= 1.0) {
+            let message =
+                format!("`{}` is not in the range from 0 (excluded) to 1", r.expose_share);
+            return invalid("rollouts.expose_share", message);
+        }
+        in_range("rollouts.expose_calls", r.expose_calls, 0, 1_000_000)?;
+        in_range("rollouts.rollback_ms", r.rollback_ms, 1000, 600_000)?;
+        if r.enabled && self.conventions.own_service.is_none() {
+            let message = "needs `conventions.own_service`, the service beside this node";
+            return invalid("rollouts.enabled", message.to_owned());
+        }
+        Ok(())
+    }
+
     fn check_headers(&self) -> Result<(), CheckError> {
         for (key, name) in self.conventions.header_names() {
             if name.is_some_and(|n| HeaderName::try_from(n).is_err()) {
--- a/goldcresttallyd/src/settings/mod.rs
+++ b/goldcresttallyd/src/settings/mod.rs
@@ -7,8 +7,8 @@
 
 pub use types::{
     ClientSettings, ConventionSettings, DistributionSettings, LogLevel, LogSettings,
-    MembershipSettings, MetricsSettings, NodeSettings, QuotaSettings, RequestSettings, Settings,
-    TeamSettings,
+    MembershipSettings, MetricsSettings, NodeSettings, QuotaSettings, RequestSettings,
+    RolloutSettings, Settings, TeamSettings,
 };
 
 /// An error in the settings.
