--- a/goldcresttally-admission/tests/rush_fleet/mod.rs
+++ b/goldcresttally-admission/tests/rush_fleet/mod.rs
@@ -5,6 +5,8 @@
 //! have a heavy tail, loads are known only from earlier answers, and refused callers come back
 //! once. A run depends only on its options and seed.
 
+#![allow(dead_code, reason = "each test file uses only some of the items")]
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::fmt;
