Overload: short waits from the first call on; the throttle gives way to reported room

Cause: until a service time was known, calls waited until their deadline at a full upstream, and right after a burst the throttle refused calls although slots were free.

Change, behind requests.rush_control: a service time of 100 ms, at most half of the target, is assumed until one is known; a call that the throttle would refuse is sent if a recent report tells of a free slot.

--- a/goldcresttally-admission/src/admission.rs
+++ b/goldcresttally-admission/src/admission.rs
@@ -37,6 +37,10 @@
 /// long: the wait of every second call is longer than expected, and those would be refused late.
 const RUSH_WAIT_MARGIN: f64 = 1.5;
 
+/// Service time assumed under rush control until one is known, in milliseconds, but at most half of
+/// the target. Without it, calls would wait until their deadline after a start.
+const ASSUMED_SERVICE_TIME_MS: u64 = 100;
+
 /// Wait of a call that only takes a free slot, in milliseconds.
 const FREE_SLOT_WAIT_MS: u64 = 1;
 
@@ -96,7 +100,7 @@
             Event::Offer { call, rank, deadline, on_time_by, target } => {
                 let is_late = on_time_by.is_past(now);
                 let class = CallClass { rank, target };
-                let service_time = self.service_times.for_class(class);
+                let service_time = self.expected_service_time(class);
                 let time_left = deadline.remaining(now);
                 let slack = max_wait(now, on_time_by, target, service_time);
                 let rush_control = self.options.rush_control;
@@ -284,10 +288,25 @@
         }
         // One average service time stands for the running calls: with `limit` of them, a slot
         // becomes free every `overall / limit`.
-        let ahead = self.service_times.overall() + self.queue.work_ahead(rank, call);
+        let overall = match self.service_times.overall() {
+            Duration::ZERO => call.service_time,
+            overall => overall,
+        };
+        let ahead = overall + self.queue.work_ahead(rank, call);
         ahead.div_f64(slots.map_or(limit, NewCallSlots::usable) as f64)
     }
 
+    /// Returns the average service time of a class; zero while it is unknown and not to be assumed.
+    fn expected_service_time(&self, class: CallClass) -> Duration {
+        match self.service_times.for_class(class) {
+            Duration::ZERO if self.options.rush_control => {
+                let assumed = Duration::from_millis(ASSUMED_SERVICE_TIME_MS).min(class.target / 2);
+                assumed.max(Duration::from_millis(1))
+            }
+            known => known,
+        }
+    }
+
     fn is_nested(&self, class: CallClass) -> bool {
         self.options.rush_control && self.nested_calls.is_nested(class)
     }
--- a/goldcresttally-admission/tests/rush_fleet/mod.rs
+++ b/goldcresttally-admission/tests/rush_fleet/mod.rs
@@ -414,12 +414,17 @@
         let key = self.throttle_key(call);
         let service = self.scenario.classes[class].service;
         let random = self.rng.f64();
-        if !self.vms[vm].throttles[service].for_class(key).admit(self.now, random) {
-            self.end_call(call, Some(End::Refused), 0);
-            return;
-        }
         let room =
             Room::new(&self.picker, self.pick_request(call), &self.vms[vm].endpoints[service]);
+        let admits = self.vms[vm].throttles[service].for_class(key).admit(self.now, random);
+        let has_free_slot = self.scenario.rush_control && room.has_free_slot();
+        if !admits && !has_free_slot {
+            match self.scenario.rush_control {
+                true => self.refuse(call),
+                false => self.end_call(call, Some(End::Refused), 0),
+            }
+            return;
+        }
         if self.scenario.rush_control && !room.is_reachable() {
             self.refuse(call);
             return;
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -322,6 +322,9 @@
         if admits || !self.entry.options.throttle {
             return Ok(());
         }
+        if self.rush_control() && self.with_room(|room| room.has_free_slot()) {
+            return Ok(());
+        }
         self.entry.state.counters.throttled.increment();
         Err(self.with_retry_after(CallError::not_run(Reason::Overloaded), 0))
     }
--- a/goldcresttally-routing/src/room.rs
+++ b/goldcresttally-routing/src/room.rs
@@ -61,6 +61,17 @@
             || self.is_nested()
     }
 
+    /// Returns whether a recent report tells of a free slot, less the calls that this node has started
+    /// since. Then a call is not refused because of refusals before it.
+    pub fn has_free_slot(&self) -> bool {
+        let PickRequest { now, rank, .. } = self.request;
+        self.usable().any(|e| {
+            let nested = e.stats.is_nested(self.key);
+            e.stats.reported_at(now, rank, nested).is_some()
+                && e.stats.load(now, rank, nested, e.slots).free > 0
+        })
+    }
+
     /// Returns where to attempt the call once more after it was refused for lack of room; `None` if
     /// it is not to be attempted again. Only a report newer than the start of the refused attempt
     /// can say that there is room now.
--- a/goldcresttally-routing/tests/room_reports.rs
+++ b/goldcresttally-routing/tests/room_reports.rs
@@ -117,6 +117,20 @@
     assert!(!Room::new(&picker, late, &endpoints).is_reachable());
 }
 
+#[test]
+fn free_slot_counts_only_by_a_recent_report() {
+    let endpoints = [endpoint(1)];
+    let picker = Picker::default();
+    let has_free_slot = || Room::new(&picker, request(), &endpoints).has_free_slot();
+    assert!(!has_free_slot(), "no report");
+    report(&endpoints[0], 1600, 3, false);
+    assert!(!has_free_slot(), "the report is too old");
+    report(&endpoints[0], 500, 1, false);
+    assert!(has_free_slot());
+    endpoints[0].stats.call_started(0);
+    assert!(!has_free_slot(), "this node has taken it");
+}
+
 #[test]
 fn old_reports_do_not_refuse_a_call() {
     let endpoints = [endpoint(1)];
--- a/tally-lab/src/fleet/mod.rs
+++ b/tally-lab/src/fleet/mod.rs
@@ -50,6 +50,8 @@
     pub link: BitRate,
     /// Drain deadline of a planned stop, in milliseconds.
     pub drain_ms: u64,
+    /// Whether calls are refused early and nested calls are preferred under an overload.
+    pub rush_control: bool,
 }
 
 impl Default for FleetOptions {
@@ -62,6 +64,7 @@
             redirects: false,
             link: BitRate::default(),
             drain_ms: 10_000,
+            rush_control: false,
         }
     }
 }
--- a/tally-lab/src/fleet/vm_location.rs
+++ b/tally-lab/src/fleet/vm_location.rs
@@ -101,7 +101,8 @@
             "node:\n  control: {}\n  peer: {}\n  calls: {}\n  operator: {}\n  domain: {}\n  \
              region: {}\n  seeds: [{}]\n  link: {}\nplatform: {platform}\nteams:\n  lab: {{token_sha256: {}}}\n\
              distribution: {{mode: {}, fleet_size: {}}}\n\
-             requests: {{drain_ms: {}, redirects: {}, leave_notice_ms: 1000}}\n",
+             requests: {{drain_ms: {}, redirects: {}, leave_notice_ms: 1000, \
+             rush_control: {}}}\n",
             self.control(),
             SocketAddr::new(self.ip, PEER_PORT),
             self.calls(),
@@ -115,6 +116,7 @@
             options.fleet_size,
             options.drain_ms,
             options.redirects,
+            options.rush_control,
         )
     }
 }
