Overload: refused calls go on by the estimate of even load

A refused call was attempted again only where a report of the last 1.5 s told of room, and under a light load each node has hardly any.

Change: with even load, the expected load decides, which is the mean of all reports where the own is old.

--- a/goldcresttally-routing/src/picker.rs
+++ b/goldcresttally-routing/src/picker.rs
@@ -118,6 +118,17 @@
             .or_else(|| cheapest(&mut endpoints.iter().filter(untried)))
     }
 
+    /// Returns the mean load that calls, `nested` or not, meet at the endpoints; `None` without even
+    /// load or reports.
+    pub(crate) fn mean_load(
+        &self,
+        request: &PickRequest,
+        nested: bool,
+        endpoints: &[Endpoint],
+    ) -> Option<MeanLoad> {
+        self.even_load.then(|| MeanLoad::of(request, nested, endpoints)).flatten()
+    }
+
     /// Selects the cheapest of the `candidates`, which are among the `endpoints` of a service.
     pub fn cheapest<'a>(
         &self,
@@ -178,11 +189,8 @@
     fn new(picker: &Picker, request: &PickRequest, endpoints: &[Endpoint]) -> Self {
         let service_ms = mean_service_time_ms(request, endpoints);
         let key = class_key(request.rank, request.target.as_millis() as u64);
-        let load = picker.even_load.then(|| {
-            let nested = endpoints.iter().any(|e| e.stats.is_nested(key));
-            MeanLoad::of(request, nested, endpoints)
-        });
-        Self { service_ms, load: load.flatten() }
+        let nested = endpoints.iter().any(|e| e.stats.is_nested(key));
+        Self { service_ms, load: picker.mean_load(request, nested, endpoints) }
     }
 }
 
--- a/goldcresttally-routing/src/room.rs
+++ b/goldcresttally-routing/src/room.rs
@@ -80,8 +80,10 @@
     }
 
     /// Returns where to attempt the call next after it was refused for lack of room; `None` if it is
-    /// not to be attempted again. Only an endpoint with a recent report is attempted, and only if the
-    /// call can start there early enough to be on time.
+    /// not to be attempted again. An endpoint is attempted only if the call is expected to start there
+    /// early enough to be on time: by the estimate of even load, or else by a recent report. Under a
+    /// light load most reports are old, and without the estimate calls would be refused beside idle
+    /// upstreams.
     pub fn another_attempt(&self, tries: &CallAttempts) -> Option<&'a Endpoint> {
         if tries.tried().len() >= MAX_ATTEMPTS {
             return None;
@@ -92,7 +94,13 @@
         let slack = on_time_by.remaining(now).saturating_sub(work.mul_f64(SERVICE_TIME_MARGIN));
         let max_wait = slack.mul_f64(FURTHER_WAIT_SHARE);
         let max_age = nested.then_some(Duration::from_millis(NESTED_REPORT_AGE_MS));
+        let mean = self.picker.mean_load(&self.request, nested, self.endpoints);
         let has_room = |e: &&Endpoint| {
+            if let Some(mean) = mean {
+                let load = e.stats.load(now, rank, nested, e.slots);
+                let free = mean.expected_free(&self.request, nested, e);
+                return load.expected_wait(free) <= max_wait;
+            }
             let reported_at = e.stats.reported_at(now, rank, nested);
             let recent =
                 reported_at.is_some_and(|at| max_age.is_none_or(|max| now.since(at) <= max));
--- a/goldcresttally-routing/tests/room_reports.rs
+++ b/goldcresttally-routing/tests/room_reports.rs
@@ -73,6 +73,19 @@
     assert_eq!(another(&endpoints, &refused_at(1)), None);
 }
 
+/// Guards against calls that are refused beside idle upstreams, as under a light load most reports are
+/// old.
+#[test]
+fn with_even_load_a_refused_call_goes_by_the_mean_of_old_reports() {
+    let endpoints = [endpoint(1), endpoint(2), endpoint(3)];
+    let picker = Picker { even_load: true, ..Picker::default() };
+    let another = || Room::new(&picker, request(), &endpoints).another_attempt(&refused_at(1));
+    report(&endpoints[1], 2500, 3, false);
+    assert!(another().is_some(), "the mean is half empty");
+    report(&endpoints[1], 2500, -12, false);
+    assert!(another().is_none(), "the mean is a wait of 120 ms and more");
+}
+
 #[test]
 fn refused_call_is_attempted_three_times_at_most() {
     let endpoints = [endpoint(1), endpoint(2), endpoint(3), endpoint(4)];
