Clients: keep the limit of 100 fields for HTTP/1.1 by default

Cause: with any other limit the HTTP library allocates 32 KiB for each request.

Change: `clients.max_header_fields` is 100 by default and concerns HTTP/1.1 only; over HTTP/2 the size of the head bounds the fields, as before, and the byte budget counts them. The reason too-many-fields and its counter are gone.

--- a/goldcresttally-proxy/src/clients/mod.rs
+++ b/goldcresttally-proxy/src/clients/mod.rs
@@ -44,6 +44,10 @@
 /// Each listener for tools gets this fraction (1/16) of the connections of callers.
 const TOOLS_DIVISOR: usize = 16;
 
+/// Header fields of one HTTP/1.1 request that the HTTP library parses on the stack. With any other limit it
+/// allocates memory for each request.
+pub(crate) const DEFAULT_HEADER_FIELDS: usize = 100;
+
 /// Minimum number of connections of any listener.
 const MIN_CONNECTIONS: usize = 16;
 
@@ -56,7 +60,8 @@
     pub call_connections: usize,
     /// Connections of each listener for tools: readiness, control, operators and metrics.
     pub tool_connections: usize,
-    /// Header fields of one request.
+    /// Header fields of one HTTP/1.1 request. Those of HTTP/2 are bounded by the size of the head, to which
+    /// each adds 32 bytes.
     pub max_header_fields: usize,
     /// Requests in flight on one HTTP/2 connection.
     pub max_streams: u32,
@@ -77,7 +82,7 @@
             budget_bytes: memory / BUDGET_DIVISOR,
             call_connections,
             tool_connections: (call_connections / TOOLS_DIVISOR).max(MIN_CONNECTIONS),
-            max_header_fields: 512,
+            max_header_fields: DEFAULT_HEADER_FIELDS,
             max_streams: 128,
             stall_timeout: Duration::from_secs(15),
         }
@@ -110,8 +115,6 @@
 client_counters! {
     /// Requests refused because the byte budget is used up.
     clients_over_budget,
-    /// Requests refused because they have too many header fields.
-    clients_too_many_fields,
     /// Connections closed on arrival because the listener has too many.
     clients_not_accepted,
     /// Idle connections closed in favour of new ones.
--- a/goldcresttally-proxy/src/clients/request.rs
+++ b/goldcresttally-proxy/src/clients/request.rs
@@ -137,10 +137,6 @@
 /// Takes the memory of a request's head from the budget.
 fn admit(connection: &Connection, req: &Request<Incoming>) -> Result<ByteShare, CallError> {
     let clients = &connection.clients;
-    if req.headers().len() > clients.options.max_header_fields {
-        clients.counters.clients_too_many_fields.increment();
-        return Err(CallError::not_run(Reason::TooManyFields));
-    }
     clients.budget.try_take(head_bytes(req), Use::Head).ok_or_else(|| {
         clients.counters.clients_over_budget.increment();
         CallError::not_run(Reason::MemoryFull)
@@ -149,11 +145,8 @@
 
 /// Returns the response to a request that is refused before it is handled.
 fn refusal(error: CallError, version: Version) -> Response<CallBody> {
-    let retry = error.reason == Reason::MemoryFull;
     let mut response = error.into_response();
-    if retry {
-        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
-    }
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
     if version < Version::HTTP_2 {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/goldcresttally-proxy/src/errors.rs
+++ b/goldcresttally-proxy/src/errors.rs
@@ -72,8 +72,6 @@
     StaleInstance = "stale-instance" => SERVICE_UNAVAILABLE,
     /// The request's body is larger than the limit.
     TooLarge = "too-large" => PAYLOAD_TOO_LARGE,
-    /// The request has more header fields than the limit.
-    TooManyFields = "too-many-fields" => REQUEST_HEADER_FIELDS_TOO_LARGE,
     /// The memory for requests of all clients together is in use.
     MemoryFull = "memory-full" => SERVICE_UNAVAILABLE,
     /// The attempt was meant for an earlier process of the node.
--- a/goldcresttally-proxy/src/server.rs
+++ b/goldcresttally-proxy/src/server.rs
@@ -18,7 +18,7 @@
 
 use crate::activity::{Activity, ObservedStream};
 use crate::body::CallBody;
-use crate::clients::{ClientAdapter, ClientOptions, ClientPort, Registration};
+use crate::clients::{self, ClientAdapter, ClientOptions, ClientPort, Registration};
 
 /// Minimum buffer for the head of a request, in bytes; hyper accepts no smaller one.
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
@@ -285,7 +285,9 @@
 
 /// Applies the limits on clients to a connection.
 fn limit_client(builder: &mut auto::Builder<TokioExecutor>, options: &ClientOptions) {
-    builder.http1().max_headers(options.max_header_fields);
+    if options.max_header_fields != clients::DEFAULT_HEADER_FIELDS {
+        builder.http1().max_headers(options.max_header_fields);
+    }
     builder
         .http2()
         .max_concurrent_streams(options.max_streams)
--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -215,7 +215,7 @@
     pub call_connections: Option<usize>,
     /// Maximum number of connections of each other listener for clients.
     pub tool_connections: Option<usize>,
-    /// Maximum number of header fields of one request.
+    /// Maximum number of header fields of one HTTP/1.1 request.
     pub max_header_fields: usize,
     /// Maximum number of requests in flight on one HTTP/2 connection.
     pub max_streams: u32,
