--- a/goldcresttally-admission/src/admission.rs
+++ b/goldcresttally-admission/src/admission.rs
@@ -29,15 +29,15 @@
 /// Share of the time to its deadline that a short call may wait, even if that makes it late.
 const SHORT_CALL_WAIT_SHARE: f64 = 0.5;
 
-/// Longest wait of new calls of the least urgent rank under rush control, as a share of their
+/// Longest wait of new calls of the least urgent rank under overload control, as a share of their
 /// target. A longer queue starts no more calls, only later ones.
-const RUSH_WAIT_SHARE: f64 = 0.25;
+const OVERLOAD_WAIT_SHARE: f64 = 0.25;
 
-/// Under rush control, a new call is refused at once if this multiple of the expected wait is too
+/// Under overload control, a new call is refused at once if this multiple of the expected wait is too
 /// long: the wait of every second call is longer than expected, and those would be refused late.
-const RUSH_WAIT_MARGIN: f64 = 1.5;
+const OVERLOAD_WAIT_MARGIN: f64 = 1.5;
 
-/// Service time assumed under rush control until one is known, in milliseconds, but at most half of
+/// Service time assumed under overload control until one is known, in milliseconds, but at most half of
 /// the target. Without it, calls would wait until their deadline after a start.
 const ASSUMED_SERVICE_TIME_MS: u64 = 100;
 
@@ -103,8 +103,8 @@
                 let service_time = self.expected_service_time(class);
                 let time_left = deadline.remaining(now);
                 let slack = max_wait(now, on_time_by, target, service_time);
-                let rush_control = self.options.rush_control;
-                if rush_control {
+                let overload_control = self.options.overload_control;
+                if overload_control {
                     self.nested_calls.on_arrival(now, class);
                 }
                 let nested = self.is_nested(class);
@@ -112,13 +112,14 @@
                     nested || service_time < self.service_times.overall().mul_f64(SHORT_CALL_SHARE);
                 // What binds is the capacity for the least urgent rank. More urgent calls go before
                 // it and find room within their slack.
-                let is_least = rush_control && !nested && self.nested_calls.is_least_urgent(rank);
+                let is_least =
+                    overload_control && !nested && self.nested_calls.is_least_urgent(rank);
                 let slack = match is_least {
-                    true => max_rush_wait(now, on_time_by, target, service_time),
+                    true => max_overload_wait(now, on_time_by, target, service_time),
                     false => slack,
                 };
                 let max_wait = match (is_late, is_short) {
-                    (true, _) if rush_control => Duration::from_millis(FREE_SLOT_WAIT_MS),
+                    (true, _) if overload_control => Duration::from_millis(FREE_SLOT_WAIT_MS),
                     (true, _) => time_left.mul_f64(LATE_CALL_WAIT_SHARE),
                     (false, true) => slack.max(time_left.mul_f64(SHORT_CALL_WAIT_SHARE)),
                     (false, false) => slack,
@@ -248,8 +249,8 @@
         }
         let fifo = self.options.policy == Policy::Fifo;
         let lane = if fifo { 0 } else { rank };
-        let margin = match self.options.rush_control && !offered.nested {
-            true => RUSH_WAIT_MARGIN,
+        let margin = match self.options.overload_control && !offered.nested {
+            true => OVERLOAD_WAIT_MARGIN,
             false => 1.0,
         };
         let expected_wait = self.expected_wait(lane, &offered).mul_f64(margin);
@@ -299,7 +300,7 @@
     /// Returns the average service time of a class; zero while it is unknown and not to be assumed.
     fn expected_service_time(&self, class: CallClass) -> Duration {
         match self.service_times.for_class(class) {
-            Duration::ZERO if self.options.rush_control => {
+            Duration::ZERO if self.options.overload_control => {
                 let assumed = Duration::from_millis(ASSUMED_SERVICE_TIME_MS).min(class.target / 2);
                 assumed.max(Duration::from_millis(1))
             }
@@ -308,14 +309,14 @@
     }
 
     fn is_nested(&self, class: CallClass) -> bool {
-        self.options.rush_control && self.nested_calls.is_nested(class)
+        self.options.overload_control && self.nested_calls.is_nested(class)
     }
 
-    /// Returns the slots that new calls of `rank` may take under rush control.
+    /// Returns the slots that new calls of `rank` may take under overload control.
     fn new_call_slots(&self, rank: usize) -> Option<NewCallSlots> {
         let limit = self.limit.get();
-        let rush_control = self.options.rush_control;
-        rush_control.then(|| NewCallSlots::new(&self.nested_calls, rank, limit))
+        let overload_control = self.options.overload_control;
+        overload_control.then(|| NewCallSlots::new(&self.nested_calls, rank, limit))
     }
 
     /// Returns the average service times of all calls and of those of a class; zero while unknown.
@@ -347,7 +348,7 @@
         self.limit.observe(now, outcome, elapsed, running);
         if outcome == Outcome::Answered {
             self.service_times.observe(ended.class, elapsed);
-            if self.options.rush_control {
+            if self.options.overload_control {
                 self.nested_calls.on_answer(ended.class, elapsed);
             }
         }
@@ -372,10 +373,10 @@
             let free = self.limit.get().saturating_sub(self.running.len());
             let (nested_calls, running_new) = (&self.nested_calls, self.running_new);
             let (running, limit) = (self.running.len(), self.limit.get());
-            let rush_control = self.options.rush_control;
+            let overload_control = self.options.overload_control;
             let takes_new = |rank| {
                 let slots = NewCallSlots::new(nested_calls, rank, limit);
-                !rush_control || slots.free(running, running_new) > 0
+                !overload_control || slots.free(running, running_new) > 0
             };
             let next = self.queue.pop(now, free, self.headroom(), takes_new);
             let Some(next) = next else { return };
@@ -390,11 +391,11 @@
         }
     }
 
-    /// Returns the number of slots to keep free for more urgent calls that are expected. Under rush
+    /// Returns the number of slots to keep free for more urgent calls that are expected. Under overload
     /// control, only as many are kept as such calls occupy, see [`NewCallSlots`].
     fn headroom(&self) -> usize {
         match self.options.policy {
-            Policy::Ranked if self.options.rush_control => 0,
+            Policy::Ranked if self.options.overload_control => 0,
             Policy::Ranked => max_headroom(self.limit.get()),
             Policy::Fifo | Policy::Strict => 0,
         }
@@ -439,15 +440,15 @@
     (limit + HEADROOM_DIVISOR / 2) / HEADROOM_DIVISOR
 }
 
-/// Returns how long a new call of the least urgent rank may wait under rush control.
-fn max_rush_wait(
+/// Returns how long a new call of the least urgent rank may wait under overload control.
+fn max_overload_wait(
     now: MonoTime,
     on_time_by: Deadline,
     target: Duration,
     service_time: Duration,
 ) -> Duration {
     let slack = on_time_by.remaining(now).saturating_sub(service_time.mul_f64(SERVICE_TIME_MARGIN));
-    slack.min(target.mul_f64(RUSH_WAIT_SHARE)).max(Duration::from_millis(FREE_SLOT_WAIT_MS))
+    slack.min(target.mul_f64(OVERLOAD_WAIT_SHARE)).max(Duration::from_millis(FREE_SLOT_WAIT_MS))
 }
 
 /// Returns how long a call may wait and still be on time.
--- a/goldcresttally-admission/src/event.rs
+++ b/goldcresttally-admission/src/event.rs
@@ -49,7 +49,7 @@
     pub floor_shares: Vec<f64>,
     /// Whether nested calls go before new ones and have slots kept free for them, and calls wait
     /// only as long as they are likely to be on time.
-    pub rush_control: bool,
+    pub overload_control: bool,
 }
 
 impl Default for Options {
@@ -60,7 +60,7 @@
             adaptive: true,
             queue_capacity: 64,
             floor_shares: Vec::new(),
-            rush_control: false,
+            overload_control: false,
         }
     }
 }
--- a/goldcresttally-admission/tests/nested_calls.rs
+++ b/goldcresttally-admission/tests/nested_calls.rs
@@ -14,14 +14,14 @@
 
 /// Returns an upstream with 6 slots that has seen nested calls of 20 ms and new ones of 98 ms: 80
 /// and 10 per second, so that nested calls occupy 1.6 slots.
-fn warm(rush_control: bool, floors: &[f64]) -> Bench {
+fn warm(overload_control: bool, floors: &[f64]) -> Bench {
     let mut bench = Bench::new(6, 256, floors);
     bench.step(Event::Configure(Options {
         max_concurrency: 6,
         queue_capacity: 256,
         adaptive: false,
         floor_shares: floors.to_vec(),
-        rush_control,
+        overload_control,
         ..Options::default()
     }));
     for tenth in 0..20 {
@@ -100,7 +100,7 @@
     bench.step(Event::Configure(Options {
         max_concurrency: 6,
         queue_capacity: 256,
-        rush_control: true,
+        overload_control: true,
         ..Options::default()
     }));
     offer_new(&mut bench, 8);
--- a/goldcresttally-admission/tests/rush_fleet/mod.rs
+++ b/goldcresttally-admission/tests/overload_fleet/mod.rs
@@ -64,7 +64,7 @@
     pub upstreams: Vec<usize>,
     pub classes: Vec<Class>,
     pub floors: Vec<f64>,
-    pub rush_control: bool,
+    pub overload_control: bool,
     /// Old load reports give way to the mean of all.
     pub even_load: bool,
     pub seconds: u64,
@@ -114,7 +114,7 @@
             upstreams: vec![32, 24],
             classes,
             floors,
-            rush_control: false,
+            overload_control: false,
             even_load: false,
             seconds: 4,
         }
@@ -430,15 +430,15 @@
         let room =
             Room::new(&self.picker, self.pick_request(call), &self.vms[vm].endpoints[service]);
         let admits = self.vms[vm].throttles[service].for_class(key).admit(self.now, random);
-        let has_free_slot = self.scenario.rush_control && room.has_free_slot();
+        let has_free_slot = self.scenario.overload_control && room.has_free_slot();
         if !admits && !has_free_slot {
-            match self.scenario.rush_control {
+            match self.scenario.overload_control {
                 true => self.refuse(call),
                 false => self.end_call(call, Some(End::Refused), 0),
             }
             return;
         }
-        if self.scenario.rush_control && !room.is_reachable() {
+        if self.scenario.overload_control && !room.is_reachable() {
             self.refuse(call);
             return;
         }
@@ -673,7 +673,7 @@
             transparent_retries: TRANSPARENT_RETRIES,
             deadline,
         };
-        if self.scenario.rush_control {
+        if self.scenario.overload_control {
             let request = self.pick_request(call);
             let list = &self.vms[vm].endpoints[service];
             let room = Room::new(&self.picker, request, list);
@@ -753,6 +753,6 @@
         adaptive: false,
         queue_capacity: 256,
         floor_shares: scenario.floors.clone(),
-        rush_control: scenario.rush_control,
+        overload_control: scenario.overload_control,
     })
 }
--- a/goldcresttally-admission/tests/rush_outcomes.rs
+++ b/goldcresttally-admission/tests/overload_outcomes.rs
@@ -1,9 +1,9 @@
 //! Guards against an overload in which callers get late answers and late refusals, and runs are
 //! wasted because the calls that they make find no room.
 
-mod rush_fleet;
+mod overload_fleet;
 
-use rush_fleet::{Fleet, Outcomes, Scenario};
+use overload_fleet::{Fleet, Outcomes, Scenario};
 
 /// Adds up the outcomes of a scenario over some seeds, and prints them.
 fn run(scenario: &Scenario, seeds: std::ops::Range<u64>) -> Vec<Outcomes> {
@@ -34,7 +34,7 @@
 #[test]
 fn runs_are_rarely_wasted_for_want_of_room_of_nested_calls() {
     let before = run(&Scenario::heavy_day(), 1..4);
-    let scenario = Scenario { rush_control: true, ..Scenario::heavy_day() };
+    let scenario = Scenario { overload_control: true, ..Scenario::heavy_day() };
     let after = run(&scenario, 1..4);
     let wasted = |o: &Outcomes| f64::from(o.wasted) / f64::from(o.runs);
     assert!(wasted(&before[0]) > 0.05, "the load does not show the fault");
@@ -45,7 +45,7 @@
 #[test]
 fn overload_is_answered_on_time_or_refused_at_once() {
     let before = run(&Scenario::heavy_day(), 1..3);
-    let scenario = Scenario { rush_control: true, ..Scenario::heavy_day() };
+    let scenario = Scenario { overload_control: true, ..Scenario::heavy_day() };
     let after = run(&scenario, 1..3);
     let share = |n: u32, o: &Outcomes| f64::from(n) / f64::from(o.asked);
     let (menu, pay, order) = (&after[0], &after[2], &after[3]);
@@ -66,7 +66,7 @@
     for factor in [0.35, 0.5] {
         let usual = Scenario::heavy_day().scaled(factor);
         let before = run(&usual, 1..3);
-        let after = run(&Scenario { rush_control: true, ..usual }, 1..3);
+        let after = run(&Scenario { overload_control: true, ..usual }, 1..3);
         for (before, after) in before.iter().zip(&after) {
             let share = |o: &Outcomes| f64::from(o.on_time) / f64::from(o.asked);
             assert!(share(after) > share(before) - 0.02, "{after} after {before}");
@@ -78,7 +78,7 @@
 fn small_overloaded_service_answers_on_time_or_refuses_at_once() {
     let scenario = Scenario::small_service();
     let before = &run(&scenario, 1..6)[0];
-    let after = &run(&Scenario { rush_control: true, ..scenario }, 1..6)[0];
+    let after = &run(&Scenario { overload_control: true, ..scenario }, 1..6)[0];
     let share = |n: u32, o: &Outcomes| f64::from(n) / f64::from(o.asked);
     assert!(share(after.on_time, after) > share(before.on_time, before) - 0.03, "{after}");
     assert!(after.late * 2 < before.late, "{after} after {before}");
--- a/goldcresttally-admission/tests/random_events.rs
+++ b/goldcresttally-admission/tests/random_events.rs
@@ -12,11 +12,11 @@
 }
 
 #[test]
-fn limit_holds_and_calls_end_once_under_rush_control() {
+fn limit_holds_and_calls_end_once_under_overload_control() {
     check(true);
 }
 
-fn check(rush_control: bool) {
+fn check(overload_control: bool) {
     arbtest::arbtest(|u| {
         let limit = u.int_in_range(1..=6)?;
         let queue_capacity = u.int_in_range(0..=8)?;
@@ -26,7 +26,7 @@
             max_concurrency: limit,
             queue_capacity,
             floor_shares,
-            rush_control,
+            overload_control,
             ..Options::default()
         }));
         let mut running: Vec<CallId> = Vec::new();
--- a/goldcresttally-admission/tests/short_waits.rs
+++ b/goldcresttally-admission/tests/short_waits.rs
@@ -1,4 +1,4 @@
-//! Guards against calls that are refused late under rush control: after a wait in a queue that was
+//! Guards against calls that are refused late under overload control: after a wait in a queue that was
 //! too long from the start, or, right after a start, that nothing limited.
 
 mod common;
@@ -18,7 +18,7 @@
         max_concurrency: 6,
         queue_capacity: 256,
         adaptive: false,
-        rush_control: true,
+        overload_control: true,
         ..Options::default()
     }));
     bench
--- a/goldcresttally-proxy/src/counters.rs
+++ b/goldcresttally-proxy/src/counters.rs
@@ -75,11 +75,11 @@
     /// Endpoints ejected after failures.
     ejections,
     /// Calls refused at the entry because no endpoint could start them in time, by the reports.
-    rush_refused,
+    refused_at_once,
     /// Calls and attempts refused because this node was short of processor time.
     processor_refused,
     /// Calls attempted once more after a refusal, where a report told of room.
-    rush_repeated,
+    attempted_again,
     /// Calls not attempted again after a refusal, because no report told of room.
-    rush_not_repeated,
+    not_attempted_again,
 }
--- a/goldcresttally-proxy/src/entry/call.rs
+++ b/goldcresttally-proxy/src/entry/call.rs
@@ -239,7 +239,7 @@
         let random = |n| fastrand::usize(..n);
         let request = self.pick_request(now);
         let hinted = tries.take_redirect().and_then(|hint| all.iter().find(|e| e.node == hint));
-        if hinted.is_some() && !self.rush_control() {
+        if hinted.is_some() && !self.overload_control() {
             self.entry.state.counters.redirects.increment();
         }
         let picked = hinted
@@ -276,14 +276,14 @@
     ) -> bool {
         let now = self.entry.state.clock.now();
         let mut failure = classify_failure(error, body);
-        if self.rush_control() && is_overload(error) {
+        if self.overload_control() && is_overload(error) {
             let counters = &self.entry.state.counters;
             let Some(node) = self.node_with_room(tries) else {
-                counters.rush_not_repeated.increment();
+                counters.not_attempted_again.increment();
                 tries.on_end(failure);
                 return false;
             };
-            counters.rush_repeated.increment();
+            counters.attempted_again.increment();
             failure.redirect = Some(node);
         }
         let options = self.entry.state.retry_options();
@@ -351,7 +351,7 @@
         if admits || !self.entry.options.throttle {
             return Ok(());
         }
-        if self.rush_control() && self.with_room(|room| room.has_free_slot()) {
+        if self.overload_control() && self.with_room(|room| room.has_free_slot()) {
             return Ok(());
         }
         self.entry.state.counters.throttled.increment();
@@ -359,8 +359,8 @@
     }
 
     /// Returns whether calls are refused early under an overload.
-    fn rush_control(&self) -> bool {
-        self.entry.peer.rush_control()
+    fn overload_control(&self) -> bool {
+        self.entry.peer.overload_control()
     }
 
     /// Calls `decide` with what is known of the room for this call.
@@ -378,7 +378,7 @@
 
     /// Refuses the call before any work is done for it if this node is short of processor time.
     fn check_processor(&self) -> Result<(), CallError> {
-        if !self.rush_control() {
+        if !self.overload_control() {
             return Ok(());
         }
         let state = &self.entry.state;
@@ -402,16 +402,16 @@
 
     /// Refuses the call before anything else is done for it if no endpoint can start it in time.
     fn check_room(&self) -> Result<(), CallError> {
-        if !self.rush_control() || self.with_room(|room| room.is_reachable()) {
+        if !self.overload_control() || self.with_room(|room| room.is_reachable()) {
             return Ok(());
         }
-        self.entry.state.counters.rush_refused.increment();
+        self.entry.state.counters.refused_at_once.increment();
         Err(self.with_retry_after(CallError::not_run(Reason::Overloaded), 0))
     }
 
     /// Adds to a refusal for lack of room when the caller may come back, and logs it.
     fn with_retry_after(&self, error: CallError, attempts: usize) -> CallError {
-        if !self.rush_control() || !is_overload(&error) || error.retry_after.is_some() {
+        if !self.overload_control() || !is_overload(&error) || error.retry_after.is_some() {
             return error;
         }
         let retry_after = self.with_room(|room| room.retry_after(fastrand::f64()));
--- a/goldcresttally-proxy/src/peer/limiter.rs
+++ b/goldcresttally-proxy/src/peer/limiter.rs
@@ -261,7 +261,7 @@
         state: &NodeState,
         upstream: &LocalUpstream,
         policy: Policy,
-        rush_control: bool,
+        overload_control: bool,
     ) {
         let config = state.active_config();
         let service = config.snapshot.service(&upstream.service);
@@ -273,7 +273,7 @@
             adaptive: service.is_none_or(|s| s.adaptive_limit),
             queue_capacity: service.map_or(0, |s| s.queue as usize),
             floor_shares,
-            rush_control,
+            overload_control,
         };
         self.apply(state, Event::Configure(options));
         let draining = upstream.draining || self.is_leaving();
--- a/goldcresttally-proxy/src/peer/mod.rs
+++ b/goldcresttally-proxy/src/peer/mod.rs
@@ -70,7 +70,7 @@
     transfers: Arc<TransferQueue>,
     policy: Policy,
     redirects: bool,
-    rush_control: bool,
+    overload_control: bool,
     rollout_gate: ArcSwapOption<RolloutGate>,
 }
 
@@ -94,7 +94,7 @@
             transfers,
             policy,
             redirects,
-            rush_control: false,
+            overload_control: false,
             rollout_gate: ArcSwapOption::empty(),
         }
     }
@@ -108,13 +108,13 @@
 
     /// Sets whether calls are refused early and nested calls are preferred under an overload.
     #[must_use]
-    pub fn with_rush_control(self, rush_control: bool) -> Self {
-        Self { rush_control, ..self }
+    pub fn with_overload_control(self, overload_control: bool) -> Self {
+        Self { overload_control, ..self }
     }
 
     /// Returns whether calls are refused early and nested calls are preferred under an overload.
-    pub fn rush_control(&self) -> bool {
-        self.rush_control
+    pub fn overload_control(&self) -> bool {
+        self.overload_control
     }
 
     /// Returns the load of the link by large bodies that arrive.
@@ -139,7 +139,7 @@
             let prev = list.and_then(|all| all.iter().find(|l| l.is_same_process(upstream)));
             let limiter =
                 prev.map_or_else(|| Arc::new(Limiter::new(upstream, self.state.clock)), Arc::clone);
-            limiter.configure(&self.state, upstream, self.policy, self.rush_control);
+            limiter.configure(&self.state, upstream, self.policy, self.overload_control);
             limiter.set_gate_rate(&self.state, self.rollout_rate(&upstream.service));
             limiters.entry(upstream.service.clone()).or_default().push(limiter);
         }
--- a/goldcresttally-proxy/src/peer/processor.rs
+++ b/goldcresttally-proxy/src/peer/processor.rs
@@ -22,7 +22,7 @@
         map: &HeaderMap,
     ) -> Option<Response<CallBody>> {
         let state = &self.state;
-        if !self.rush_control || info.attempt.origin == state.identity.node {
+        if !self.overload_control || info.attempt.origin == state.identity.node {
             return None;
         }
         let now = state.clock.now();
--- a/goldcresttally-proxy/tests/common/mod.rs
+++ b/goldcresttally-proxy/tests/common/mod.rs
@@ -50,15 +50,15 @@
         Self::start_peer(conventions, NODE, false).await
     }
 
-    /// Starts a peer with rush control that gets its attempts from another node.
-    pub async fn start_with_rush_control() -> Self {
+    /// Starts a peer with overload control that gets its attempts from another node.
+    pub async fn start_with_overload_control() -> Self {
         Self::start_peer(Conventions::default(), OTHER_NODE, true).await
     }
 
     async fn start_peer(
         conventions: Conventions,
         origin: &'static str,
-        rush_control: bool,
+        overload_control: bool,
     ) -> Self {
         let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let node = NODE.parse().unwrap();
@@ -70,7 +70,7 @@
         let transport = Arc::new(TcpTransport::new(None));
         let tasks = TaskTracker::new();
         let peer = Peer::new(Arc::new(state), transport, tasks, Policy::default(), false)
-            .with_rush_control(rush_control);
+            .with_overload_control(overload_control);
         peer.set_upstreams(&[LocalUpstream {
             service: "booking".parse().unwrap(),
             address: upstream.local_addr().unwrap(),
--- a/goldcresttally-proxy/tests/short_node.rs
+++ b/goldcresttally-proxy/tests/short_node.rs
@@ -20,7 +20,7 @@
 
 #[tokio::test]
 async fn attempt_is_refused_at_once_and_before_its_body_has_arrived() {
-    let fixture = PeerFixture::start_with_rush_control().await;
+    let fixture = PeerFixture::start_with_overload_control().await;
     delay_probes(&fixture);
     // Four waits of 200 ms are more than the time left, so the call is refused for certain.
     let left = Duration::from_millis(500);
@@ -45,7 +45,7 @@
 
 #[tokio::test]
 async fn node_with_enough_time_does_not_refuse() {
-    let fixture = PeerFixture::start_with_rush_control().await;
+    let fixture = PeerFixture::start_with_overload_control().await;
     let serve = async {
         let mut upstream = fixture.accept().await;
         common::write(&mut upstream, b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await;
--- a/goldcresttally-routing/src/room.rs
+++ b/goldcresttally-routing/src/room.rs
@@ -1,4 +1,4 @@
-//! Under rush control: whether a call finds room in time at any endpoint of its service, whether it
+//! Under overload control: whether a call finds room in time at any endpoint of its service, whether it
 //! is attempted once more after a refusal, and when a refused caller may come back.
 //!
 //! All answers come from the load reports and from the calls that this node has in flight.
--- a/goldcresttallyd/src/node/mod.rs
+++ b/goldcresttallyd/src/node/mod.rs
@@ -132,7 +132,8 @@
             settings.requests.redirects,
         );
         let peer = Arc::new(
-            peer.with_link(settings.node.link).with_rush_control(settings.requests.rush_control),
+            peer.with_link(settings.node.link)
+                .with_overload_control(settings.requests.overload_control),
         );
         let workers = Workers::start(settings.node.threads)?;
         let links = || {
--- a/goldcresttallyd/src/settings/types.rs
+++ b/goldcresttallyd/src/settings/types.rs
@@ -194,9 +194,9 @@
     pub retry_spend: f64,
     /// Whether calls that cannot be answered in time are refused at once, and nested calls are
     /// preferred, under an overload.
-    pub rush_control: bool,
+    pub overload_control: bool,
     /// Whether calls are refused before any work is done for them while this node is short of
-    /// processor time; needs `rush_control`.
+    /// processor time; needs `overload_control`.
     pub processor_control: bool,
     /// Whether old load reports give way to the mean of all, so that upstreams are loaded evenly.
     pub even_load: bool,
@@ -214,7 +214,7 @@
             retry_reserve: 60.0,
             retry_window_ms: 10_000,
             retry_spend: 1.0,
-            rush_control: false,
+            overload_control: false,
             processor_control: false,
             even_load: false,
         }
--- a/tally-lab/src/fleet/mod.rs
+++ b/tally-lab/src/fleet/mod.rs
@@ -51,7 +51,7 @@
     /// Drain deadline of a planned stop, in milliseconds.
     pub drain_ms: u64,
     /// Whether calls are refused early and nested calls are preferred under an overload.
-    pub rush_control: bool,
+    pub overload_control: bool,
     /// Whether the limits of accounts are enforced. Callers state their key in `Authorization`.
     pub quotas: bool,
 }
@@ -66,7 +66,7 @@
             redirects: false,
             link: BitRate::default(),
             drain_ms: 10_000,
-            rush_control: false,
+            overload_control: false,
             quotas: false,
         }
     }
--- a/tally-lab/src/fleet/vm_location.rs
+++ b/tally-lab/src/fleet/vm_location.rs
@@ -102,7 +102,7 @@
              region: {}\n  seeds: [{}]\n  link: {}\nplatform: {platform}\nteams:\n  lab: {{token_sha256: {}}}\n\
              distribution: {{mode: {}, fleet_size: {}}}\n\
              requests: {{drain_ms: {}, redirects: {}, leave_notice_ms: 1000, \
-             rush_control: {}}}\n\
+             overload_control: {}}}\n\
              quotas: {{enabled: {}}}\n\
              conventions: {{account_key_header: Authorization, account_key_scheme: Bearer}}\n",
             self.control(),
@@ -118,7 +118,7 @@
             options.fleet_size,
             options.drain_ms,
             options.redirects,
-            options.rush_control,
+            options.overload_control,
             options.quotas,
         )
     }
--- a/tally-lab/tests/rush_control.rs
+++ b/tally-lab/tests/overload_control.rs
@@ -1,5 +1,5 @@
 //! Guards against calls that go from one full upstream to the next before they are refused, and
-//! against refused calls that ran, on real nodes with rush control.
+//! against refused calls that ran, on real nodes with overload control.
 
 mod common;
 
@@ -18,7 +18,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_beyond_the_room_are_refused_after_three_attempts_at_most() {
     let behaviour = Behaviour { slots: SLOTS, service_ms: SERVICE_MS, ..common::fast_behaviour() };
-    let options = FleetOptions { rush_control: true, ..FleetOptions::default() };
+    let options = FleetOptions { overload_control: true, ..FleetOptions::default() };
     let section = documents::service_section("booking", 4000, 64);
     let upstreams = [(1, behaviour.clone()), (2, behaviour)];
     let harness = Harness::start_fleet(options, 3, &upstreams, &section).await;
@@ -52,7 +52,7 @@
         assert_eq!(ran, *outcome == Outcome::Answered, "{}", spec.id);
     }
     assert!(attempts(&harness) - before <= 3 * CALLS as u64);
-    let decisions = ["rush_refused", "rush_not_repeated", "processor_refused", "throttled"];
+    let decisions = ["refused_at_once", "not_attempted_again", "processor_refused", "throttled"];
     let decided: u64 = decisions.iter().map(|name| harness.counter(0, name)).sum();
     assert!(decided >= refused as u64, "{decided} decisions for {refused} refusals");
     // There is room again.
