--- a/goldcresttally-routing/src/room.rs
+++ b/goldcresttally-routing/src/room.rs
@@ -97,7 +97,11 @@
         let mean = self.picker.mean_load(&self.request, nested, self.endpoints);
         let has_room = |e: &&Endpoint| {
             if let Some(mean) = mean {
-                let load = e.stats.load(now, rank, nested, e.slots);
+                let mut load = e.stats.load(now, rank, nested, e.slots);
+                if load.turn_ms == 0 {
+                    // Nothing was heard from there yet.
+                    load.turn_ms = work.as_millis() as u32;
+                }
                 let free = mean.expected_free(&self.request, nested, e);
                 return load.expected_wait(free) <= max_wait;
             }
