review: case 8, uploads that were passed on are closed without an answer beside a crowd

Cause: while more than half of the byte budget is in use, a body without 8 KiB in a second ends its connection, also where the request has been passed on and nothing more of it is buffered.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod logs;
 mod paths;
 mod platform;
+mod uploads;
 
 use std::process::exit;
 use std::sync::Arc;
@@ -78,6 +79,7 @@
     let code = match name.as_str() {
         "paths" => paths::run(&case),
         "logs" => logs::run(&case),
+        "uploads" => uploads::run(&case),
         _ => NOT_RUN,
     };
     case.record.line(&format!("exit {code}"));
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -99,6 +99,11 @@
 
 pub fn read_request(reader: &mut impl BufRead) -> Option<Request> {
     let (first, headers) = read_head(reader)?;
+    read_rest(reader, &first, headers)
+}
+
+/// Reads the body of a request whose head was read.
+fn read_rest(reader: &mut impl BufRead, first: &str, headers: Vec<(String, String)>) -> Option<Request> {
     let mut words = first.split(' ');
     let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
     let body = read_body(reader, &headers)?;
@@ -325,6 +330,8 @@
     pub work: Duration,
     pub slots: usize,
     pub runs: Mutex<Vec<Run>>,
+    /// The ids of the requests whose heads have arrived.
+    pub begun: Mutex<Vec<String>>,
     pub beats: AtomicBool,
     pub refused_beats: AtomicUsize,
     sequence: AtomicU64,
@@ -343,6 +350,7 @@
             work: Duration::from_millis(work_ms),
             slots,
             runs: Mutex::default(),
+            begun: Mutex::default(),
             beats: AtomicBool::new(true),
             refused_beats: AtomicUsize::new(0),
             sequence: AtomicU64::new(0),
@@ -378,7 +386,10 @@
     fn connection(&self, stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         let mut stream = stream;
-        while let Some(request) = read_request(&mut reader) {
+        while let Some((first, headers)) = read_head(&mut reader) {
+            let id = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("goldcresttally-attempt-id"));
+            self.begun.lock().unwrap().extend(id.map(|(_, id)| id.clone()));
+            let Some(request) = read_rest(&mut reader, &first, headers) else { return };
             if request.target == "/health" {
                 let text = format!("HTTP/1.1 200 OK\r\ngoldcresttally-instance-id: {}\r\ncontent-length: 0\r\n\r\n", self.id);
                 if stream.write_all(text.as_bytes()).is_err() {
