review: case 7, callers that stop reading take the answers of all orders over the same link

Cause: the answers of a link share one HTTP/2 window of 4 MiB; 16 unread ones close it, and an instance's slots do not bound their number, as they are free again at the deadline.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod logs;
 mod paths;
 mod platform;
+mod readers;
 mod uploads;
 
 use std::process::exit;
@@ -79,6 +80,7 @@
     let code = match name.as_str() {
         "paths" => paths::run(&case),
         "logs" => logs::run(&case),
+        "readers" => readers::run(&case),
         "uploads" => uploads::run(&case),
         _ => NOT_RUN,
     };
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -411,9 +411,13 @@
             self.record.line(&format!("instance {} runs {} {} {} body={}", self.id, id, request.method, run.path, run.body_bytes));
             self.runs.lock().unwrap().push(run);
             thread::sleep(self.work);
+            // A case may ask for a longer answer.
+            let bytes = request.header("x-answer-bytes").parse().unwrap_or(0);
+            let mut body = format!("answer {id}");
+            body.push_str(&" ".repeat(usize::saturating_sub(bytes, body.len())));
             let text = format!(
-                "HTTP/1.1 200 OK\r\ngoldcresttally-attempt-id: {id}\r\ngoldcresttally-response-signature: s.{id}\r\ncontent-length: {}\r\n\r\nanswer {id}",
-                7 + id.len()
+                "HTTP/1.1 200 OK\r\ngoldcresttally-attempt-id: {id}\r\ngoldcresttally-response-signature: s.{id}\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
             );
             if stream.write_all(text.as_bytes()).is_err() {
                 return;
