review: case 8, a pause of 2.5 s resets a link and cuts the answers on it

Cause: TCP_USER_TIMEOUT of 1.5 s on the links between nodes; the receive buffer of a process that stands still is full, so that sent bytes stay unacknowledged.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,5 +1,6 @@
 //! Runs one case of the review: `standin CASE`. See `review/REPORT-2.md`.
 
+mod frozen;
 mod json;
 mod logs;
 mod paths;
@@ -93,6 +94,7 @@
     let run = || match name.as_str() {
         "paths" => paths::run(&case),
         "readers" => readers::run(&case),
+        "frozen" => frozen::run(&case),
         "logs" => logs::run(&case),
         "uploads" => uploads::run(&case),
         _ => NOT_RUN,
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -413,8 +413,14 @@
                 "HTTP/1.1 200 OK\r\ngoldcresttally-attempt-id: {id}\r\ngoldcresttally-response-signature: s.{id}\r\ncontent-length: {}\r\n\r\n{body}",
                 body.len()
             );
-            if stream.write_all(text.as_bytes()).is_err() {
-                return;
+            // And that it is sent over some time.
+            let time: u64 = request.header("x-answer-ms").parse().unwrap_or(0);
+            let parts = if time > 0 { 50 } else { 1 };
+            for part in text.as_bytes().chunks(text.len().div_ceil(parts)) {
+                if stream.write_all(part).is_err() {
+                    return;
+                }
+                thread::sleep(Duration::from_millis(time / 50));
             }
         }
     }
